--- /dev/null
+++ b/cmake/PoplarportTargets.cmake
@@ -0,0 +1,55 @@
+# Functions that declare the workspace's libraries, programs and tests.
+
+# Adds a test program from the given sources and registers it with ctest.
+function(poplarport_test name)
+    cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "SOURCES;LIBRARIES;ARGUMENTS;LABELS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/tests/support/main.cpp)
+    target_link_libraries(${name} PRIVATE poplarport_flags ${ARG_LIBRARIES} PkgConfig::CPPUTEST)
+    target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests/support)
+    target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED=1)
+    add_test(NAME ${name} COMMAND ${name} ${ARG_ARGUMENTS})
+    if(NOT ARG_TIMEOUT)
+        set(ARG_TIMEOUT 120)
+    endif()
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+    if(ARG_SERIAL)
+        set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE)
+    endif()
+    if(ARG_LABELS)
+        set_tests_properties(${name} PROPERTIES LABELS "${ARG_LABELS}")
+    endif()
+endfunction()
+
+# Adds the library libs/NAME with its headers, sources and unit tests.
+#   DEPENDS    libraries of the workspace, by short name
+#   LIBRARIES  further link targets, visible to users of the library
+#   TEST_LIBRARIES  link targets of the unit tests alone
+function(poplarport_library name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES;TEST_LIBRARIES" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+    set(target poplarport_${name})
+    list(TRANSFORM ARG_DEPENDS PREPEND poplarport_)
+    if(sources)
+        add_library(${target} STATIC ${sources})
+        target_include_directories(${target} PUBLIC include PRIVATE src)
+        target_link_libraries(${target} PUBLIC ${ARG_DEPENDS} ${ARG_LIBRARIES} PRIVATE poplarport_flags)
+    else()
+        add_library(${target} INTERFACE)
+        target_include_directories(${target} INTERFACE include)
+        target_link_libraries(${target} INTERFACE ${ARG_DEPENDS} ${ARG_LIBRARIES})
+    endif()
+    file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/unit-*.cpp)
+    if(tests)
+        poplarport_test(unit_${name} SOURCES ${tests} LIBRARIES ${target} ${ARG_TEST_LIBRARIES})
+    endif()
+endfunction()
+
+# Adds the program apps/NAME.
+function(poplarport_program name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    add_executable(${name} ${sources})
+    list(TRANSFORM ARG_DEPENDS PREPEND poplarport_)
+    target_link_libraries(${name} PRIVATE poplarport_flags ${ARG_DEPENDS} ${ARG_LIBRARIES})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+endfunction()
