Add the settings library: TOML reading and shared options of the programs

Cause: every program needs settings that are checked as a whole, and the same options and exit codes. Ruled out: an exception at the first fault, because an operator would need one run for each fault; toml++ types in the public headers, because each user would compile them. Conclusion: programs declare their settings by reading them.

--- /dev/null
+++ b/libs/settings/include/poplarport/settings/table.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <chrono>       // microseconds, milliseconds
+#include <cstdint>      // int64_t, uint32_t
+#include <memory>       // shared_ptr
+#include <optional>     // optional
+#include <string>       // string
+#include <string_view>  // string_view
+#include <system_error> // error_code
+#include <vector>       // vector
+
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/settings/rules.hpp"
+
+namespace poplarport::settings
+{
+
+namespace detail
+{
+struct document_state;
+struct table_state;
+} // namespace detail
+
+/// @brief A table of a document.
+///
+/// Each read declares a key. A fault is recorded in the document and the read returns the fallback or, without one,
+/// the least value, an empty text or an empty list, so that one pass finds all faults.
+class table
+{
+  public:
+    /// @brief Reads an integer.
+    [[nodiscard]] std::int64_t integer(std::string_view key, const range<std::int64_t>& limits) const;
+
+    /// @brief Reads a number; an integer is accepted.
+    [[nodiscard]] double number(std::string_view key, const range<double>& limits) const;
+
+    /// @brief Reads a boolean.
+    [[nodiscard]] bool boolean(std::string_view key, std::optional<bool> fallback = std::nullopt) const;
+
+    /// @brief Reads a duration.
+    /// @param[in] key    key, which ends with `_ms`
+    /// @param[in] limits bounds
+    [[nodiscard]] std::chrono::milliseconds milliseconds(std::string_view key,
+                                                         const range<std::chrono::milliseconds>& limits) const;
+
+    /// @brief Reads a duration.
+    /// @param[in] key    key, which ends with `_us`
+    /// @param[in] limits bounds
+    [[nodiscard]] std::chrono::microseconds microseconds(std::string_view key,
+                                                         const range<std::chrono::microseconds>& limits) const;
+
+    /// @brief Reads a size in bytes.
+    /// @param[in] key    key, which ends with `_bytes`
+    /// @param[in] limits bounds
+    [[nodiscard]] std::uint64_t bytes(std::string_view key, const range<std::uint64_t>& limits) const;
+
+    /// @brief Reads a text.
+    [[nodiscard]] std::string text(std::string_view key, const text_rule& rule) const;
+
+    /// @brief Reads a text that is one of a list.
+    [[nodiscard]] std::string choice(std::string_view key, const std::vector<std::string>& allowed,
+                                     std::optional<std::string> fallback = std::nullopt) const;
+
+    /// @brief Reads a list of texts without duplicates; the rule applies to each of them.
+    /// @param[in] key   key; an absent key is an empty list when least is 0
+    /// @param[in] rule  rule of each text; its fallback is not used
+    /// @param[in] least smallest allowed length
+    [[nodiscard]] std::vector<std::string> texts(std::string_view key, const text_rule& rule,
+                                                 std::size_t least = 0) const;
+
+    /// @brief Reads an IP number and a port, written `host:port`.
+    [[nodiscard]] core::socket_address address(std::string_view key,
+                                               std::optional<core::socket_address> fallback = std::nullopt) const;
+
+    /// @brief Reads a list of addresses; an absent key is an empty list.
+    [[nodiscard]] std::vector<core::socket_address> addresses(std::string_view key) const;
+
+    /// @brief Reads a table; an absent table reads as an empty one, so that its required keys are faults.
+    [[nodiscard]] table child(std::string_view key) const;
+
+    /// @brief Reads an array of tables; an absent array is empty.
+    [[nodiscard]] std::vector<table> children(std::string_view key) const;
+
+    /// @return whether the file holds the key; does not declare it
+    [[nodiscard]] bool contains(std::string_view key) const noexcept;
+
+    /// @return whether the file holds this table
+    [[nodiscard]] bool is_present() const noexcept;
+
+    /// @brief Records a fault that the caller found, at the line of the key or, when it is absent, of the table.
+    /// @param[in] key     key within this table; empty for the table itself
+    /// @param[in] code    result code of the caller's library
+    /// @param[in] found   what the file holds
+    /// @param[in] allowed what is allowed
+    void report(std::string_view key, std::error_code code, std::string found, std::string allowed) const;
+
+  private:
+    friend class document;
+    explicit table(std::shared_ptr<detail::table_state> view) noexcept;
+
+    std::shared_ptr<detail::table_state> state;
+};
+
+} // namespace poplarport::settings
--- /dev/null
+++ b/libs/settings/src/program.cpp
@@ -0,0 +1,133 @@
+#include "poplarport/settings/program.hpp"
+
+#include <exception> // exception
+#include <ostream>   // ostream
+#include <utility>   // move
+
+namespace poplarport::settings
+{
+namespace
+{
+
+int to_int(exit_status status) noexcept
+{
+    return static_cast<int>(status);
+}
+
+} // namespace
+
+cxxopts::Options program::declare() const
+{
+    cxxopts::Options options{this->name, this->about};
+    options.add_options()("h,help", "print this help")("version", "print the version");
+    if (this->read_settings)
+    {
+        options.add_options()("settings", "path of the settings file (TOML)", cxxopts::value<std::string>(), "FILE");
+        options.add_options()("check-settings", "check the settings file and exit");
+    }
+    if (!this->positional.empty())
+    {
+        options.add_options("positional")("arguments", "", cxxopts::value<std::vector<std::string>>());
+        options.parse_positional({"arguments"});
+        options.positional_help(this->positional);
+    }
+    if (this->add_options)
+    {
+        this->add_options(options);
+    }
+    return options;
+}
+
+int program::run(int argc, const char* const* argv, std::ostream& out, std::ostream& err) const
+{
+    try
+    {
+        cxxopts::Options options = this->declare();
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0)
+        {
+            out << options.help({""});
+            return to_int(exit_status::ok);
+        }
+        if (parsed.count("version") > 0)
+        {
+            out << this->name << " " << POPLARPORT_VERSION << "\n";
+            return to_int(exit_status::ok);
+        }
+        return this->run_parsed(parsed, out, err);
+    }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        err << this->name << ": " << error.what() << "; see " << this->name << " --help\n";
+        return to_int(exit_status::usage);
+    }
+    catch (const std::exception& error)
+    {
+        err << this->name << ": internal error: " << error.what() << "\n";
+        return to_int(exit_status::internal);
+    }
+}
+
+int program::run_parsed(const cxxopts::ParseResult& parsed, std::ostream& out, std::ostream& err) const
+{
+    if (this->read_settings)
+    {
+        if (parsed.count("settings") == 0)
+        {
+            err << this->name << ": --settings FILE is required; see " << this->name << " --help\n";
+            return to_int(exit_status::usage);
+        }
+        const auto path = parsed["settings"].as<std::string>();
+        document file = document::from_file(path);
+        this->read_settings(file);
+        const std::vector<fault> faults = file.finish();
+        if (!faults.empty())
+        {
+            err << to_string(faults);
+            return to_int(exit_status::bad_settings);
+        }
+        if (parsed.count("check-settings") > 0)
+        {
+            out << path << ": valid\n";
+            return to_int(exit_status::ok);
+        }
+    }
+    return to_int(this->body(parsed));
+}
+
+program::builder::builder(std::string name, std::string about)
+{
+    this->built.name = std::move(name);
+    this->built.about = std::move(about);
+}
+
+program::builder& program::builder::options(std::function<void(cxxopts::Options&)> hook)
+{
+    this->built.add_options = std::move(hook);
+    return *this;
+}
+
+program::builder& program::builder::positional_arguments(std::string help)
+{
+    this->built.positional = std::move(help);
+    return *this;
+}
+
+program::builder& program::builder::settings(std::function<void(document&)> hook)
+{
+    this->built.read_settings = std::move(hook);
+    return *this;
+}
+
+program::builder& program::builder::run(std::function<exit_status(const cxxopts::ParseResult&)> hook)
+{
+    this->built.body = std::move(hook);
+    return *this;
+}
+
+program program::builder::build() const
+{
+    return this->built;
+}
+
+} // namespace poplarport::settings
