Make the settings library compile with clang 14 and pass the linter

Cause: clang 14 lacks parenthesised aggregate initialisation, and three copies could be moves. Ruled out: suppressing the checks. Change: aggregates are built with braces; fallbacks are not const. Conclusion: none beyond the above.

--- a/libs/settings/src/document.cpp
+++ b/libs/settings/src/document.cpp
@@ -37,7 +37,8 @@
         for (const auto& [key, value] : node)
         {
             const std::string name{key.str()};
-            const std::string full = path.empty() ? name : path + "." + name;
+            std::string full = path.empty() ? path : path + ".";
+            full += name;
             if (!declared.contains(name))
             {
                 this->state.faults.push_back({this->state.file, key.source().begin.line, full, errc::unknown_key,
@@ -64,7 +65,8 @@
         {
             for (std::size_t index = 0; index < items->size(); ++index)
             {
-                this->descend(*items->get(index), path + "[" + std::to_string(index) + "]");
+                this->descend(*items->get(index),
+                              std::string{path}.append("[").append(std::to_string(index)).append("]"));
             }
         }
     }
@@ -112,7 +114,7 @@
 table document::root() const
 {
     const toml::table* node = this->state->parsed ? &this->state->root : nullptr;
-    return table{std::make_shared<detail::table_state>(this->state, node, "", 1)};
+    return table{std::make_shared<detail::table_state>(detail::table_state{this->state, node, "", 1})};
 }
 
 bool document::is_parsed() const noexcept
--- a/libs/settings/src/table.cpp
+++ b/libs/settings/src/table.cpp
@@ -184,7 +184,7 @@
 std::string table::text(std::string_view key, const text_rule& rule) const
 {
     const toml::node* value = find(*this, *this->state, key, !rule.fallback.has_value(), rule.allowed);
-    const std::string substitute = rule.fallback.value_or("");
+    std::string substitute = rule.fallback.value_or("");
     if (value == nullptr)
     {
         return substitute;
@@ -283,7 +283,7 @@
         this->report(key, errc::wrong_type, describe(*value), "a table");
     }
     const std::uint32_t line = nested == nullptr ? this->state->line : nested->source().begin.line;
-    return table{std::make_shared<detail::table_state>(this->state->owner, nested, path, line)};
+    return table{std::make_shared<detail::table_state>(detail::table_state{this->state->owner, nested, path, line})};
 }
 
 std::vector<table> table::children(std::string_view key) const
@@ -306,8 +306,8 @@
     {
         const toml::table* nested = items->get(index)->as_table();
         const std::string item_path = path + "[" + std::to_string(index) + "]";
-        read.push_back(table{
-            std::make_shared<detail::table_state>(this->state->owner, nested, item_path, nested->source().begin.line)});
+        detail::table_state item{this->state->owner, nested, item_path, nested->source().begin.line};
+        read.push_back(table{std::make_shared<detail::table_state>(std::move(item))});
     }
     return read;
 }
