--- a/libs/settings/include/poplarport/settings/fault.hpp
+++ b/libs/settings/include/poplarport/settings/fault.hpp
@@ -17,6 +17,8 @@
     std::error_code code;  ///< the result code
     std::string found;     ///< what the file holds
     std::string allowed;   ///< what is allowed
+
+    bool operator==(const fault&) const = default;
 };
 
 /// @brief Formats a fault as `FILE:LINE: KEY: found X; allowed: Y (CATEGORY NUMBER)`.
--- a/libs/settings/include/poplarport/settings/table.hpp
+++ b/libs/settings/include/poplarport/settings/table.hpp
@@ -78,8 +78,10 @@
     /// @brief Reads a table; an absent table reads as an empty one, so that its required keys are faults.
     [[nodiscard]] table child(std::string_view key) const;
 
-    /// @brief Reads an array of tables; an absent array is empty.
-    [[nodiscard]] std::vector<table> children(std::string_view key) const;
+    /// @brief Reads an array of tables.
+    /// @param[in] key   key; an absent key is an empty array when least is 0
+    /// @param[in] least smallest allowed length
+    [[nodiscard]] std::vector<table> children(std::string_view key, std::size_t least = 0) const;
 
     /// @return whether the file holds the key; does not declare it
     [[nodiscard]] bool contains(std::string_view key) const noexcept;
--- a/libs/settings/src/table.cpp
+++ b/libs/settings/src/table.cpp
@@ -286,9 +286,10 @@
     return table{std::make_shared<detail::table_state>(detail::table_state{this->state->owner, nested, path, line})};
 }
 
-std::vector<table> table::children(std::string_view key) const
+std::vector<table> table::children(std::string_view key, std::size_t least) const
 {
-    const toml::node* value = find(*this, *this->state, key, false, "");
+    const std::string allowed = "an array of at least " + std::to_string(least) + " tables";
+    const toml::node* value = find(*this, *this->state, key, least > 0, allowed);
     if (value == nullptr)
     {
         return {};
@@ -296,10 +297,14 @@
     const toml::array* items = value->as_array();
     if (items == nullptr || (!items->empty() && !items->is_homogeneous<toml::table>()))
     {
-        this->report(key, errc::wrong_type, describe(*value), "an array of tables");
+        this->report(key, errc::wrong_type, describe(*value), allowed);
         this->state->owner->rejected.insert(value);
         return {};
     }
+    if (items->size() < least)
+    {
+        this->report(key, errc::not_allowed, "an array of " + std::to_string(items->size()), allowed);
+    }
     const std::string path = this->state->path.empty() ? std::string{key} : this->state->path + "." + std::string{key};
     std::vector<table> read;
     for (std::size_t index = 0; index < items->size(); ++index)
@@ -335,8 +340,13 @@
     {
         path += (path.empty() ? "" : ".") + std::string{key};
     }
-    this->state->owner->faults.push_back(
-        {this->state->owner->file, line, std::move(path), code, std::move(found), std::move(allowed)});
+    fault found_fault{this->state->owner->file, line, std::move(path), code, std::move(found), std::move(allowed)};
+    // A key that is read twice must not report its fault twice.
+    std::vector<fault>& faults = this->state->owner->faults;
+    if (std::ranges::find(faults, found_fault) == faults.end())
+    {
+        faults.push_back(std::move(found_fault));
+    }
 }
 
 } // namespace poplarport::settings
