Add the HTTP/1.1 server and client of the call path

Cause: calls need streaming bodies with flow control, all end-to-end fields, and a client that never repeats a request by itself. Ruled out: libwebsockets' HTTP roles (see docs/design.md, section 10). Change: http::server, client_connection, client_pool, header fields and framing. Ambiguous lengths, bare line feeds, foreign transfer codings and oversized headers get 4xx or 501 and end the connection. An aborted answer ends with a TCP reset, and a reset is never taken for the end of a body. Conclusion: stand-ins and nodes can build on it.

--- /dev/null
+++ b/libs/http/include/poplarport/http/client_pool.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>  // seconds
+#include <cstddef> // size_t
+#include <memory>  // shared_ptr
+#include <vector>  // vector
+
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/core/time.hpp"
+#include "poplarport/http/client_connection.hpp"
+#include "poplarport/net/event_loop.hpp"
+
+namespace poplarport::http
+{
+
+/// @brief Keep-alive connections to one address, never more than a limit.
+class client_pool
+{
+  public:
+    /// @brief Limits of a pool.
+    struct limits
+    {
+        std::size_t connections{256};                            ///< open connections, in use and idle
+        core::duration connect_timeout{std::chrono::seconds{1}}; ///< for the set-up of a connection
+        core::duration idle_timeout{std::chrono::seconds{15}};   ///< an older idle connection is not used again
+    };
+
+    /// @param[in] loop    loop of the connections
+    /// @param[in] address IP number and port of the server
+    /// @param[in] values  limits of the pool
+    client_pool(net::event_loop& loop, core::socket_address address, const limits& values);
+
+    /// @brief Takes an idle connection, or starts a new one.
+    /// @return nullptr when the limit is reached
+    [[nodiscard]] std::shared_ptr<client_connection> acquire();
+
+    /// @brief Gives a connection back; one that cannot be used again is dropped.
+    void release(const std::shared_ptr<client_connection>& connection);
+
+    /// @return connections in use and idle
+    [[nodiscard]] std::size_t size() const noexcept;
+
+  private:
+    struct idle_connection
+    {
+        std::shared_ptr<client_connection> connection;
+        core::time_point since;
+    };
+
+    net::event_loop* loop;
+    core::socket_address target;
+    limits chosen;
+    std::vector<idle_connection> idle{};
+    std::size_t in_use{0};
+};
+
+} // namespace poplarport::http
--- /dev/null
+++ b/libs/http/include/poplarport/http/message.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint> // uint64_t
+#include <string>  // string
+
+#include "poplarport/http/header_fields.hpp"
+
+namespace poplarport::http
+{
+
+/// @brief How the end of a body is found.
+enum class body_framing
+{
+    none,       ///< there is no body
+    fixed,      ///< Content-Length
+    chunked,    ///< Transfer-Encoding: chunked
+    until_close ///< the end of the connection; answers only
+};
+
+/// @brief Head of a request. The fields hold neither Content-Length nor Transfer-Encoding; the framing replaces them.
+struct request_head
+{
+    std::string method{};
+    std::string target{};
+    header_fields fields{};
+    body_framing framing{body_framing::none};
+    std::uint64_t content_length{0}; ///< bytes, for fixed framing
+    int minor_version{1};            ///< 0 for HTTP/1.0, 1 for HTTP/1.1
+    bool keep_alive{true};
+};
+
+/// @brief Head of an answer; framing as in request_head.
+struct response_head
+{
+    int status{0};
+    std::string reason{};
+    header_fields fields{};
+    body_framing framing{body_framing::none};
+    std::uint64_t content_length{0}; ///< bytes, for fixed framing
+    bool keep_alive{true};
+};
+
+/// @return whether answers of this status never have a body (RFC 9110, section 6.4.1)
+[[nodiscard]] constexpr bool is_bodyless_status(int status) noexcept
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    constexpr int first_final_status = 200;
+    return status < first_final_status || status == no_content || status == not_modified;
+}
+
+/// @return the standard reason phrase of a status, or an empty text
+[[nodiscard]] std::string reason_phrase(int status);
+
+/// @return the head in its wire form, with the framing fields and the final empty line
+[[nodiscard]] std::string serialize(const request_head& head);
+
+/// @return the head in its wire form, with the framing fields and the final empty line
+[[nodiscard]] std::string serialize(const response_head& head);
+
+/// @return one chunk of a chunked body in its wire form
+[[nodiscard]] std::string serialize_chunk(std::string_view bytes);
+
+/// @brief The end of a chunked body.
+inline constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+/// @brief Removes the fields that hold for one connection only (RFC 9110, section 7.6.1).
+/// @param[in,out] fields fields of a message that is forwarded
+void remove_hop_by_hop(header_fields& fields);
+
+} // namespace poplarport::http
--- /dev/null
+++ b/libs/http/include/poplarport/http/server.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <chrono>       // seconds
+#include <cstddef>      // size_t
+#include <functional>   // function
+#include <memory>       // shared_ptr
+#include <string_view>  // string_view
+#include <system_error> // error_code
+
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/core/time.hpp"
+#include "poplarport/http/message.hpp"
+#include "poplarport/net/event_loop.hpp"
+
+namespace poplarport::http
+{
+
+/// @brief One request at a server and its answer. The owner keeps it until it has called finish() or abort().
+///
+/// A hook may release the exchange. Nothing is called after on_cancelled.
+class server_exchange
+{
+  public:
+    /// @brief Hooks of the exchange's owner; an empty one is skipped.
+    struct hooks
+    {
+        std::function<void(std::string_view)> on_body;     ///< bytes of the request's body
+        std::function<void()> on_body_end;                 ///< the request is complete
+        std::function<void()> on_writable;                 ///< the output buffer is empty again
+        std::function<void(std::error_code)> on_cancelled; ///< the caller's connection ended or its request is faulty
+    };
+
+    server_exchange() = default;
+    virtual ~server_exchange() = default;
+    server_exchange(const server_exchange&) = delete;
+    server_exchange& operator=(const server_exchange&) = delete;
+
+    /// @return head of the request
+    [[nodiscard]] virtual const request_head& request() const noexcept = 0;
+
+    /// @brief Sets the hooks; called once, inside the request hook, before the body is delivered.
+    virtual void set_hooks(hooks events) = 0;
+
+    /// @brief Stops or restarts the delivery of the request's body.
+    virtual void set_reading(bool enabled) = 0;
+
+    /// @brief Sends an interim (1xx) answer.
+    virtual void send_interim(const response_head& head) = 0;
+
+    /// @brief Sends the head of the answer.
+    virtual void send_head(response_head head) = 0;
+
+    /// @brief Sends bytes of the answer's body; ignored where the answer has none (HEAD, 204, 304).
+    virtual void send_body(std::string_view bytes) = 0;
+
+    /// @brief Ends the answer. With fewer bytes than announced the connection is closed instead.
+    virtual void finish() = 0;
+
+    /// @brief Closes the connection at once, so that the caller sees that the answer is incomplete.
+    virtual void abort() = 0;
+
+    /// @return bytes of the answer that the kernel has not taken
+    [[nodiscard]] virtual std::size_t pending_bytes() const noexcept = 0;
+
+    /// @return whether the request's body was received to its end
+    [[nodiscard]] virtual bool request_complete() const noexcept = 0;
+
+    /// @return address of the caller
+    [[nodiscard]] virtual core::socket_address caller() const = 0;
+};
+
+/// @brief Sends a whole answer.
+void respond(server_exchange& exchange, response_head head, std::string_view body);
+
+/// @brief HTTP/1.1 server over raw stream sockets: strict parsing, streaming bodies, keep-alive, pipelining in order.
+class server
+{
+  public:
+    using request_hook = std::function<void(std::shared_ptr<server_exchange>)>;
+    using refusal_hook = std::function<void(std::error_code, response_head&)>;
+
+    /// @brief Limits of a server.
+    struct limits
+    {
+        std::size_t header_bytes{16384};                         ///< greatest header section
+        std::size_t connections{1024};                           ///< open connections; further ones are closed at once
+        core::duration idle_timeout{std::chrono::seconds{75}};   ///< between requests
+        core::duration header_timeout{std::chrono::seconds{10}}; ///< for a whole header section
+    };
+
+    class builder;
+
+    ~server();
+    server(server&&) noexcept;
+    server& operator=(server&&) noexcept;
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    /// @return the address with the port in use
+    [[nodiscard]] core::socket_address address() const;
+
+    /// @return the number of open connections
+    [[nodiscard]] std::size_t connection_count() const noexcept;
+
+    /// @brief Prepares a stop: idle connections close, every further answer closes its connection.
+    void drain();
+
+    /// @brief Stops accepting connections.
+    void stop_listening();
+
+    struct state;
+
+  private:
+    explicit server(std::shared_ptr<state> shared) noexcept;
+
+    std::shared_ptr<state> data;
+};
+
+/// @brief Builds a server.
+class server::builder
+{
+  public:
+    /// @param[in] address address to listen on; port 0 takes a free port
+    builder& listen_on(core::socket_address address);
+
+    /// @param[in] hook called for each request whose head is valid
+    builder& on_request(request_hook hook);
+
+    /// @param[in] hook may add fields to the answer to a request that the parser refuses
+    builder& on_refusal(refusal_hook hook);
+
+    /// @param[in] values limits of the server
+    builder& with_limits(const limits& values);
+
+    /// @brief Opens the listening socket.
+    /// @param[in] loop loop of the server
+    /// @throw std::system_error with net::errc::invalid_address or net::errc::listen_failed
+    [[nodiscard]] server build(net::event_loop& loop);
+
+  private:
+    core::socket_address listen_address{};
+    request_hook request{};
+    refusal_hook refusal{};
+    limits chosen{};
+};
+
+} // namespace poplarport::http
--- /dev/null
+++ b/libs/http/src/client_connection.cpp
@@ -0,0 +1,268 @@
+#include "poplarport/http/client_connection.hpp"
+
+#include <utility> // exchange, move
+
+#include "poplarport/http/detail/message_parser.hpp"
+#include "poplarport/http/errors.hpp"
+#include "poplarport/net/errors.hpp"
+#include "poplarport/net/stream_socket.hpp"
+
+namespace poplarport::http
+{
+
+namespace
+{
+
+constexpr std::size_t response_header_limit_bytes = 32768;
+
+class socket_client_connection final : public client_connection
+{
+  public:
+    socket_client_connection()
+        : parser(detail::message_parser::kind::response, response_header_limit_bytes), events(std::make_shared<hooks>())
+    {
+    }
+
+    ~socket_client_connection() override
+    {
+        if (this->socket)
+        {
+            this->socket->close();
+        }
+    }
+
+    socket_client_connection(const socket_client_connection&) = delete;
+    socket_client_connection& operator=(const socket_client_connection&) = delete;
+
+    void open(net::event_loop& loop, const core::socket_address& address, core::duration timeout)
+    {
+        this->socket =
+            net::stream_socket::connect(loop, address, timeout,
+                                        {.on_connected = {},
+                                         .on_bytes = [this](std::string_view bytes) { this->handle_bytes(bytes); },
+                                         .on_drained = [this] { this->handle_drained(); },
+                                         .on_closed =
+                                             [this](std::error_code reason)
+                                         {
+                                             this->handle_closed(reason);
+                                         }});
+    }
+
+    void start(const request_head& head, hooks values) override
+    {
+        this->events = std::make_shared<hooks>(std::move(values));
+        this->active = true;
+        this->head_received = false;
+        this->request_finished = head.framing == body_framing::none;
+        this->request_framing = head.framing;
+        this->sent_at_start = this->socket->sent_bytes();
+        this->parser.start(head.method == "HEAD");
+        this->socket->send(serialize(head));
+    }
+
+    void send_body(std::string_view bytes) override
+    {
+        if (!this->active || this->request_finished || bytes.empty())
+        {
+            return;
+        }
+        this->socket->send(this->request_framing == body_framing::chunked ? serialize_chunk(bytes)
+                                                                          : std::string{bytes});
+    }
+
+    void finish_request() override
+    {
+        if (!this->active || this->request_finished)
+        {
+            return;
+        }
+        this->request_finished = true;
+        if (this->request_framing == body_framing::chunked)
+        {
+            this->socket->send(last_chunk);
+        }
+    }
+
+    void set_reading(bool enabled) override
+    {
+        this->reading = enabled;
+        if (this->closed)
+        {
+            return;
+        }
+        this->socket->set_reading(enabled);
+    }
+
+    void abort() override
+    {
+        this->active = false;
+        this->closed = true;
+        this->events = std::make_shared<hooks>();
+        this->socket->close();
+    }
+
+    [[nodiscard]] bool is_reusable() const noexcept override
+    {
+        return !this->active && !this->closed && this->keep_alive && !this->socket->has_unread_input();
+    }
+
+    [[nodiscard]] bool is_closed() const noexcept override
+    {
+        return this->closed;
+    }
+
+    [[nodiscard]] bool has_sent_bytes() const noexcept override
+    {
+        return this->socket->sent_bytes() > this->sent_at_start;
+    }
+
+    [[nodiscard]] std::size_t pending_bytes() const noexcept override
+    {
+        return this->socket->pending_bytes();
+    }
+
+  private:
+    void handle_bytes(std::string_view bytes)
+    {
+        const auto keep = this->shared_from_this();
+        if (!this->active)
+        {
+            this->fail(errc::unexpected_bytes);
+            return;
+        }
+        this->parser.append(bytes);
+        while (this->active && this->process_step())
+        {
+        }
+    }
+
+    bool process_step()
+    {
+        const auto running = this->events;
+        auto step = this->parser.step();
+        if (step.error)
+        {
+            this->fail(step.error);
+            return false;
+        }
+        if (step.head_complete && !this->handle_head(*running))
+        {
+            return this->active;
+        }
+        if (!step.body.empty() && running->on_body)
+        {
+            running->on_body(step.body);
+        }
+        if (step.message_complete && this->active)
+        {
+            this->complete();
+            return false;
+        }
+        return !step.needs_more;
+    }
+
+    // Returns whether the head is that of the final answer.
+    bool handle_head(const hooks& running)
+    {
+        constexpr int first_final_status = 200;
+        constexpr int switching_protocols = 101;
+        auto& head = this->parser.response();
+        if (head.status == switching_protocols)
+        {
+            this->fail(errc::malformed_message);
+            return false;
+        }
+        if (head.status < first_final_status)
+        {
+            const auto interim = std::move(head);
+            this->parser.start();
+            if (running.on_interim)
+            {
+                running.on_interim(interim);
+            }
+            return false;
+        }
+        this->head_received = true;
+        this->keep_alive = head.keep_alive && head.framing != body_framing::until_close;
+        if (running.on_head)
+        {
+            running.on_head(head);
+        }
+        return this->active;
+    }
+
+    void complete()
+    {
+        this->active = false;
+        // An answer before the end of the request leaves the connection in the middle of a message.
+        this->keep_alive = this->keep_alive && this->request_finished && this->socket->pending_bytes() == 0 &&
+                           this->parser.unused_bytes() == 0;
+        const auto running = std::exchange(this->events, std::make_shared<hooks>());
+        if (running->on_end)
+        {
+            running->on_end();
+        }
+    }
+
+    void handle_drained()
+    {
+        const auto keep = this->shared_from_this();
+        const auto running = this->events;
+        if (this->active && running->on_writable)
+        {
+            running->on_writable();
+        }
+    }
+
+    void handle_closed(std::error_code reason)
+    {
+        const auto keep = this->shared_from_this();
+        // A reset is no proof that the body is complete.
+        const bool ends_body = reason == net::errc::connection_closed && this->active && this->head_received &&
+                               this->parser.response().framing == body_framing::until_close && !this->parser.finish();
+        if (ends_body)
+        {
+            this->closed = true;
+            this->complete();
+            return;
+        }
+        this->fail(reason);
+    }
+
+    void fail(std::error_code reason)
+    {
+        const bool was_active = std::exchange(this->active, false);
+        this->closed = true;
+        const client_failure failure{reason, this->has_sent_bytes(), this->head_received};
+        this->socket->close();
+        const auto running = std::exchange(this->events, std::make_shared<hooks>());
+        if (was_active && running->on_failed)
+        {
+            running->on_failed(failure);
+        }
+    }
+
+    std::unique_ptr<net::stream_socket> socket{};
+    detail::message_parser parser;
+    std::shared_ptr<hooks> events;
+    bool active{false};
+    bool closed{false};
+    bool reading{true};
+    bool keep_alive{true};
+    bool head_received{false};
+    bool request_finished{false};
+    body_framing request_framing{body_framing::none};
+    std::size_t sent_at_start{0};
+};
+
+} // namespace
+
+std::shared_ptr<client_connection>
+client_connection::connect(net::event_loop& loop, const core::socket_address& address, core::duration timeout)
+{
+    auto connection = std::make_shared<socket_client_connection>();
+    connection->open(loop, address, timeout);
+    return connection;
+}
+
+} // namespace poplarport::http
--- /dev/null
+++ b/libs/http/src/server.cpp
@@ -0,0 +1,122 @@
+#include "poplarport/http/server.hpp"
+
+#include <utility> // move
+
+#include "poplarport/http/detail/server_connection.hpp"
+#include "poplarport/http/errors.hpp"
+#include "poplarport/net/listener.hpp"
+
+namespace poplarport::http
+{
+
+void respond(server_exchange& exchange, response_head head, std::string_view body)
+{
+    head.framing = body_framing::fixed;
+    head.content_length = body.size();
+    exchange.send_head(std::move(head));
+    exchange.send_body(body);
+    exchange.finish();
+}
+
+server::server(std::shared_ptr<state> shared) noexcept : data(std::move(shared))
+{
+}
+
+server::~server()
+{
+    if (this->data)
+    {
+        this->data->close_all();
+    }
+}
+
+server::server(server&&) noexcept = default;
+
+server& server::operator=(server&&) noexcept = default;
+
+core::socket_address server::address() const
+{
+    return this->data->bound;
+}
+
+std::size_t server::connection_count() const noexcept
+{
+    return this->data->connections.size();
+}
+
+void server::drain()
+{
+    this->data->draining = true;
+    const auto open = this->data->connections;
+    for (const auto& connection : open)
+    {
+        connection->close_if_idle();
+    }
+}
+
+void server::stop_listening()
+{
+    this->data->accepting.reset();
+}
+
+void server::state::accept(std::unique_ptr<net::stream_socket> socket)
+{
+    if (this->connections.size() >= this->chosen.connections)
+    {
+        return;
+    }
+    const auto connection = std::make_shared<detail::server_connection>(*this, std::move(socket));
+    this->connections.insert(connection);
+    connection->start();
+}
+
+void server::state::close_all()
+{
+    this->accepting.reset();
+    const auto open = std::exchange(this->connections, {});
+    for (const auto& connection : open)
+    {
+        connection->close(net::errc::connection_closed);
+    }
+}
+
+server::builder& server::builder::listen_on(core::socket_address address)
+{
+    this->listen_address = std::move(address);
+    return *this;
+}
+
+server::builder& server::builder::on_request(request_hook hook)
+{
+    this->request = std::move(hook);
+    return *this;
+}
+
+server::builder& server::builder::on_refusal(refusal_hook hook)
+{
+    this->refusal = std::move(hook);
+    return *this;
+}
+
+server::builder& server::builder::with_limits(const limits& values)
+{
+    this->chosen = values;
+    return *this;
+}
+
+server server::builder::build(net::event_loop& loop)
+{
+    auto shared = std::make_shared<state>();
+    shared->loop = &loop;
+    shared->chosen = this->chosen;
+    shared->request = this->request;
+    shared->refusal = this->refusal;
+    auto* const target = shared.get();
+    shared->accepting = std::make_unique<net::listener>(loop, this->listen_address,
+                                                        [target](std::unique_ptr<net::stream_socket> socket)
+                                                        { target->accept(std::move(socket)); });
+    shared->bound = shared->accepting->address();
+    return server{std::move(shared)};
+}
+
+} // namespace poplarport::http
--- /dev/null
+++ b/libs/http/tests/unit-server.cpp
@@ -0,0 +1,388 @@
+#include "poplarport/http/server.hpp"
+
+#include <chrono>     // seconds
+#include <functional> // function
+#include <memory>     // unique_ptr
+#include <string>     // string
+#include <vector>     // vector
+
+#include "poplarport/http/client_connection.hpp"
+#include "poplarport/http/client_pool.hpp"
+#include "poplarport/http/errors.hpp"
+#include "poplarport/net/errors.hpp"
+#include "poplarport/net/listener.hpp"
+#include "poplarport/net/stream_socket.hpp"
+#include "poplarport/net/timer.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr core::duration connect_timeout = 5s;
+const core::socket_address loopback{"127.0.0.1", 0};
+
+// Runs the loop until the condition holds, for a bounded time.
+bool run_until(net::event_loop& loop, const std::function<bool()>& condition, core::duration limit = 10s)
+{
+    bool expired = false;
+    net::timer timer{loop, [&]
+                     {
+                         expired = true;
+                     }};
+    timer.schedule(limit);
+    while (!condition() && !expired)
+    {
+        loop.run_once();
+    }
+    return !expired;
+}
+
+// Answers each request with its body, in the same framing.
+http::server make_echo_server(net::event_loop& loop, int& requests)
+{
+    return http::server::builder{}
+        .listen_on(loopback)
+        .on_request(
+            [&requests](const std::shared_ptr<http::server_exchange>& exchange)
+            {
+                ++requests;
+                const auto body = std::make_shared<std::string>();
+                auto* const raw = exchange.get();
+                raw->set_hooks({.on_body = [body](std::string_view bytes) { body->append(bytes); },
+                                .on_body_end =
+                                    [body, exchange]
+                                {
+                                    http::response_head head{.status = 200};
+                                    head.fields.add("X-Method", exchange->request().method);
+                                    http::respond(*exchange, std::move(head), *body);
+                                },
+                                .on_writable = {},
+                                .on_cancelled = {}});
+            })
+        .build(loop);
+}
+
+// Sends text on a raw connection and returns what arrives until the server closes it.
+std::string exchange_raw(net::event_loop& loop, const core::socket_address& address, const std::string& text)
+{
+    std::string received;
+    bool closed = false;
+    std::unique_ptr<net::stream_socket> socket;
+    socket = net::stream_socket::connect(loop, address, connect_timeout,
+                                         {.on_connected = [&] { socket->send(text); },
+                                          .on_bytes = [&](std::string_view bytes) { received.append(bytes); },
+                                          .on_drained = {},
+                                          .on_closed =
+                                              [&](std::error_code)
+                                          {
+                                              closed = true;
+                                          }});
+    run_until(loop, [&] { return closed; });
+    return received;
+}
+
+struct client_result
+{
+    int status{0};
+    std::string body{};
+    bool ended{false};
+    std::optional<http::client_failure> failure{};
+};
+
+http::client_connection::hooks collect(client_result& result)
+{
+    return {.on_interim = {},
+            .on_head = [&](http::response_head& head) { result.status = head.status; },
+            .on_body = [&](std::string_view bytes) { result.body.append(bytes); },
+            .on_end = [&] { result.ended = true; },
+            .on_writable = {},
+            .on_failed =
+                [&](const http::client_failure& failure)
+            {
+                result.failure = failure;
+            }};
+}
+
+http::request_head make_head(const std::string& method, http::body_framing framing, std::uint64_t length)
+{
+    http::request_head head{.method = method, .target = "/"};
+    head.fields.add("Host", "test");
+    head.framing = framing;
+    head.content_length = length;
+    return head;
+}
+
+} // namespace
+
+TEST_GROUP(http_server){};
+
+struct malformed_case
+{
+    const char* title;
+    std::string text;
+    const char* status;
+};
+
+// Guards against request smuggling: an ambiguous or damaged request must be refused, must reach no handler, and must
+// end the connection so that no byte after it is taken for a second request.
+TEST(http_server, malformed_requests_are_refused_and_end_the_connection)
+{
+    const std::string second = "GET /second HTTP/1.1\r\nHost: t\r\n\r\n";
+    const std::vector<malformed_case> cases{
+        {"both lengths", "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "400"},
+        {"both lengths, reversed",
+         "POST / HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n", "400"},
+        {"repeated length", "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n", "400"},
+        {"repeated equal length", "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n",
+         "400"},
+        {"length list", "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: 4, 4\r\n\r\n", "400"},
+        {"signed length", "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: +4\r\n\r\n", "400"},
+        {"bare line feeds", "GET / HTTP/1.1\nHost: t\n\n", "400"},
+        {"bare line feed in a field", "GET / HTTP/1.1\r\nHost: t\nX: y\r\n\r\n", "400"},
+        {"space before the colon", "GET / HTTP/1.1\r\nHost : t\r\n\r\n", "400"},
+        {"other transfer coding", "POST / HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", "501"},
+        {"obfuscated coding", "POST / HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: xchunked\r\n\r\n", "501"},
+        {"no host", "GET / HTTP/1.1\r\n\r\n", "400"},
+        {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400"},
+        {"oversized header", "GET / HTTP/1.1\r\nHost: t\r\nX: " + std::string(20000, 'a') + "\r\n\r\n", "431"},
+        {"wrong version", "GET / HTTP/3.0\r\nHost: t\r\n\r\n", "505"},
+        {"no request", "\x16\x03\x01\x02", "400"},
+    };
+    for (const auto& entry : cases)
+    {
+        net::event_loop loop;
+        int requests = 0;
+        const auto server = make_echo_server(loop, requests);
+        const auto answer = exchange_raw(loop, server.address(), entry.text + second);
+        CHECK_TEXT(answer.starts_with(std::string{"HTTP/1.1 "} + entry.status), entry.title);
+        LONGS_EQUAL_TEXT(0, requests, entry.title);
+        CHECK_TEXT(answer.find("HTTP/1.1 ", 1) == std::string::npos, entry.title);
+    }
+}
+
+// Guards against a damaged chunk being passed on as the end of the body.
+TEST(http_server, damaged_chunk_ends_the_connection)
+{
+    net::event_loop loop;
+    int requests = 0;
+    const auto server = make_echo_server(loop, requests);
+    const auto answer = exchange_raw(
+        loop, server.address(),
+        "POST / HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhelloGET / HTTP/1.1\r\nHost: t\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 400"));
+    LONGS_EQUAL(1, requests);
+}
+
+// Guards against answers to pipelined requests that are mixed up or lost, however the bytes are split.
+TEST(http_server, split_and_pipelined_requests_are_answered_in_order)
+{
+    net::event_loop loop;
+    int requests = 0;
+    const auto server = make_echo_server(loop, requests);
+    const std::string text =
+        "POST /1 HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\n\r\noneGET /2 HTTP/1.1\r\nHost: t\r\n\r\n"
+        "POST /3 HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+        "3\r\nthr\r\n2\r\nee\r\n0\r\n\r\n";
+    std::string received;
+    bool closed = false;
+    std::size_t position = 0;
+    std::unique_ptr<net::stream_socket> socket;
+    net::timer feed{loop, [] {
+                    }};
+    const std::function<void()> send_next = [&]
+    {
+        if (position < text.size())
+        {
+            socket->send(text.substr(position++, 1));
+            loop.post(send_next);
+        }
+    };
+    socket = net::stream_socket::connect(loop, server.address(), connect_timeout,
+                                         {.on_connected = send_next,
+                                          .on_bytes = [&](std::string_view bytes) { received.append(bytes); },
+                                          .on_drained = {},
+                                          .on_closed =
+                                              [&](std::error_code)
+                                          {
+                                              closed = true;
+                                          }});
+    CHECK(run_until(loop, [&] { return closed; }));
+    LONGS_EQUAL(3, requests);
+    const auto first = received.find("\r\n\r\none");
+    const auto third = received.find("\r\n\r\nthree");
+    CHECK(first != std::string::npos);
+    CHECK(third != std::string::npos);
+    CHECK(first < third);
+}
+
+struct framing_case
+{
+    const char* title;
+    http::body_framing framing;
+    std::size_t bytes;
+};
+
+// Guards against bodies that change on their way, and against a connection that cannot be used again afterwards.
+TEST(http_server, bodies_return_unchanged_on_one_connection)
+{
+    net::event_loop loop;
+    int requests = 0;
+    const auto server = make_echo_server(loop, requests);
+    http::client_pool pool{loop, server.address(), {}};
+    for (const auto& entry : {framing_case{"none", http::body_framing::none, 0},
+                              framing_case{"fixed", http::body_framing::fixed, 5'000'000},
+                              framing_case{"chunked", http::body_framing::chunked, 3'000'000},
+                              framing_case{"fixed and empty", http::body_framing::fixed, 0}})
+    {
+        std::string body(entry.bytes, '\0');
+        for (std::size_t index = 0; index < body.size(); ++index)
+        {
+            body[index] = static_cast<char>(index * 7 % 253);
+        }
+        client_result result;
+        const auto connection = pool.acquire();
+        connection->start(make_head("POST", entry.framing, body.size()), collect(result));
+        connection->send_body(body);
+        connection->finish_request();
+        CHECK_TEXT(run_until(loop, [&] { return result.ended || result.failure; }), entry.title);
+        LONGS_EQUAL_TEXT(200, result.status, entry.title);
+        CHECK_TEXT(result.body == body, entry.title);
+        CHECK_TEXT(connection->is_reusable(), entry.title);
+        pool.release(connection);
+        LONGS_EQUAL(1, pool.size());
+    }
+}
+
+// Guards against an answer to HEAD whose announced length is waited for.
+TEST(http_server, answer_to_head_has_no_body)
+{
+    net::event_loop loop;
+    int requests = 0;
+    const auto server = make_echo_server(loop, requests);
+    client_result result;
+    const auto connection = http::client_connection::connect(loop, server.address(), connect_timeout);
+    connection->start(make_head("HEAD", http::body_framing::none, 0), collect(result));
+    CHECK(run_until(loop, [&] { return result.ended || result.failure; }));
+    LONGS_EQUAL(200, result.status);
+    CHECK(result.body.empty());
+}
+
+// Guards against work that goes on for a caller that is gone.
+TEST(http_server, disconnected_caller_cancels_its_exchange)
+{
+    net::event_loop loop;
+    std::shared_ptr<http::server_exchange> held;
+    bool cancelled = false;
+    const auto server = http::server::builder{}
+                            .listen_on(loopback)
+                            .on_request(
+                                [&](std::shared_ptr<http::server_exchange> exchange)
+                                {
+                                    held = std::move(exchange);
+                                    held->set_hooks({.on_body = {},
+                                                     .on_body_end = {},
+                                                     .on_writable = {},
+                                                     .on_cancelled = [&](std::error_code)
+                                                     {
+                                                         cancelled = true;
+                                                     }});
+                                })
+                            .build(loop);
+    client_result result;
+    const auto connection = http::client_connection::connect(loop, server.address(), connect_timeout);
+    connection->start(make_head("GET", http::body_framing::none, 0), collect(result));
+    CHECK(run_until(loop, [&] { return held != nullptr; }));
+    connection->abort();
+    CHECK(run_until(loop, [&] { return cancelled; }));
+    held->finish();
+}
+
+struct broken_upstream_case
+{
+    const char* title;
+    const char* answer;
+    bool reset;
+    bool complete;
+};
+
+// Guards against a partial answer taken for a whole one, and against a request that the client repeats by itself.
+TEST(http_server, client_reports_a_broken_answer_and_sends_the_request_once)
+{
+    for (const auto& entry :
+         {broken_upstream_case{"closed without an answer", "", false, false},
+          broken_upstream_case{"short body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", false, false},
+          broken_upstream_case{"missing last chunk",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false, false},
+          broken_upstream_case{"end of connection ends the body", "HTTP/1.1 200 OK\r\n\r\nwhole", false, true},
+          broken_upstream_case{"reset is not the end of a body", "HTTP/1.1 200 OK\r\n\r\npart", true, false}})
+    {
+        net::event_loop loop;
+        int connections = 0;
+        std::string seen;
+        std::unique_ptr<net::stream_socket> accepted;
+        const net::listener upstream{loop, loopback,
+                                     [&](std::unique_ptr<net::stream_socket> socket)
+                                     {
+                                         ++connections;
+                                         accepted = std::move(socket);
+                                         accepted->set_hooks({.on_connected = {},
+                                                              .on_bytes =
+                                                                  [&](std::string_view bytes)
+                                                              {
+                                                                  seen.append(bytes);
+                                                                  if (!seen.ends_with("\r\n\r\n"))
+                                                                  {
+                                                                      return;
+                                                                  }
+                                                                  accepted->send(entry.answer);
+                                                                  if (!entry.reset)
+                                                                  {
+                                                                      accepted->finish_output();
+                                                                  }
+                                                              },
+                                                              .on_drained = {},
+                                                              .on_closed = {}});
+                                     }};
+        client_result result;
+        const auto connection = http::client_connection::connect(loop, upstream.address(), connect_timeout);
+        connection->start(make_head("POST", http::body_framing::none, 0), collect(result));
+        if (entry.reset)
+        {
+            CHECK(run_until(loop, [&] { return result.body == "part"; }));
+            accepted->reset();
+        }
+        CHECK_TEXT(run_until(loop, [&] { return result.ended || result.failure; }), entry.title);
+        CHECK_TEXT(result.ended == entry.complete, entry.title);
+        if (result.failure)
+        {
+            CHECK_TEXT(result.failure->bytes_sent, entry.title);
+        }
+        LONGS_EQUAL_TEXT(1, connections, entry.title);
+        LONGS_EQUAL_TEXT(seen.find("POST"), seen.rfind("POST"), entry.title);
+    }
+}
+
+// Guards against a request to a closed port that is reported as possibly run.
+TEST(http_server, refused_connection_proves_that_no_byte_was_sent)
+{
+    net::event_loop loop;
+    core::socket_address unused;
+    {
+        const net::listener temporary{loop, loopback, [](std::unique_ptr<net::stream_socket>) {
+                                      }};
+        unused = temporary.address();
+    }
+    loop.post([] {});
+    loop.run_once();
+    client_result result;
+    const auto connection = http::client_connection::connect(loop, unused, connect_timeout);
+    connection->start(make_head("POST", http::body_framing::none, 0), collect(result));
+    CHECK(run_until(loop, [&] { return result.failure.has_value(); }));
+    CHECK(result.failure->error == net::errc::connect_failed);
+    CHECK_FALSE(result.failure->bytes_sent);
+}
--- a/libs/net/include/poplarport/net/errors.hpp
+++ b/libs/net/include/poplarport/net/errors.hpp
@@ -16,7 +16,8 @@
     connect_failed = 902,
     connect_timed_out = 903,
     connection_closed = 904,
-    loop_setup_failed = 905
+    loop_setup_failed = 905,
+    connection_reset = 906
 };
 
 /// @return the category of this library's result codes
--- a/libs/net/include/poplarport/net/stream_socket.hpp
+++ b/libs/net/include/poplarport/net/stream_socket.hpp
@@ -61,6 +61,9 @@
     /// @return whether the connection is established and not closed
     [[nodiscard]] bool is_open() const noexcept;
 
+    /// @return whether bytes or the end of the input wait to be read; an idle connection with such is not reusable
+    [[nodiscard]] bool has_unread_input() const noexcept;
+
     /// @brief Stops or restarts reading, so that TCP's flow control holds the sender back.
     void set_reading(bool enabled);
 
@@ -70,6 +73,9 @@
     /// @brief Closes at once; buffered output is discarded and no hook is called any more.
     void close() noexcept;
 
+    /// @brief Breaks the connection off with a TCP reset, so that the other side cannot take it for an orderly end.
+    void reset() noexcept;
+
     /// @return address of the other side, with an empty host when it is not known
     [[nodiscard]] core::socket_address remote_address() const;
 
--- a/libs/net/src/errors.cpp
+++ b/libs/net/src/errors.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<result::code_entry, 6> rows{{
+constexpr std::array<result::code_entry, 7> rows{{
     {900, "invalid_address", "The text is not an IP number with a port.",
      "A host name was given; use an IPv4 or IPv6 number."},
     {901, "listen_failed", "The address cannot be listened on.",
@@ -20,6 +20,8 @@
     {904, "connection_closed", "The other side closed the connection.",
      "The process at the other side stopped or reset the connection."},
     {905, "loop_setup_failed", "The event loop cannot be set up.", "The limit on open descriptors is too low."},
+    {906, "connection_reset", "The connection broke off without an orderly end.",
+     "The process at the other side was killed, or the network reset the connection."},
 }};
 
 } // namespace
--- a/libs/net/src/stream_socket.cpp
+++ b/libs/net/src/stream_socket.cpp
@@ -157,6 +157,24 @@
     }
 }
 
+namespace
+{
+
+// An orderly end leaves the kernel's connection half open; after a reset it is gone.
+std::error_code close_reason(const stream_socket::state& closed)
+{
+    if (closed.connecting)
+    {
+        return errc::connect_failed;
+    }
+    tcp_info information{};
+    socklen_t length = sizeof information;
+    const bool known = ::getsockopt(closed.descriptor, IPPROTO_TCP, TCP_INFO, &information, &length) == 0;
+    return known && information.tcpi_state == TCP_CLOSE ? errc::connection_reset : errc::connection_closed;
+}
+
+} // namespace
+
 int detail::handle_stream_event(lws* connection, lws_callback_reasons reason, void* user, void* in, std::size_t length)
 {
     auto* const target = static_cast<stream_socket::state*>(user);
@@ -189,7 +207,7 @@
             const auto keep = target->shared_from_this();
             lws_set_wsi_user(connection, nullptr);
             target->connection = nullptr;
-            target->fail(target->connecting ? errc::connect_failed : errc::connection_closed);
+            target->fail(close_reason(*target));
         }
         return 0;
     default:
@@ -283,6 +301,16 @@
     return !this->data->closed && !this->data->connecting;
 }
 
+bool stream_socket::has_unread_input() const noexcept
+{
+    if (this->data->closed)
+    {
+        return true;
+    }
+    char byte = 0;
+    return ::recv(this->data->descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 void stream_socket::set_reading(bool enabled)
 {
     if (this->data->connection != nullptr)
@@ -310,6 +338,18 @@
     this->data->events = std::make_shared<hooks>();
 }
 
+void stream_socket::reset() noexcept
+{
+    if (!this->data->closed)
+    {
+        // Disconnecting a TCP socket drops the connection and sends a reset.
+        sockaddr unspecified{};
+        unspecified.sa_family = AF_UNSPEC;
+        [[maybe_unused]] const int result = ::connect(this->data->descriptor, &unspecified, sizeof unspecified);
+    }
+    this->close();
+}
+
 core::socket_address stream_socket::remote_address() const
 {
     detail::kernel_address address;
