Add the attempt state machine, the retry budget and the call driver

Cause: the sender needs one place that concludes "not run", and one that decides whether another attempt may start. Ruled out: letting a call end as "not run" because its last attempt was refused. An earlier attempt may have run, so a call is "not run" only if every attempt is. Also ruled out: a refusal as proof after the head of an answer, because a peer that answers has processed the request.

--- /dev/null
+++ b/libs/attempts/include/poplarport/attempts/attempt_event.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstddef> // size_t
+#include <cstdint> // int32_t
+#include <variant> // variant
+#include <vector>  // vector
+
+#include "poplarport/core/ids.hpp"
+
+namespace poplarport::attempts
+{
+
+/// @brief Bytes of the request were handed to the connection; from now on the request may reach the receiver.
+struct request_bytes_sent
+{
+    std::size_t bytes{0}; ///< bytes handed over, head included; zero changes nothing
+};
+
+/// @brief What a receiver knew when it refused a request.
+enum class refusal_proof
+{
+    admission_refused,  ///< the receiving node's admission refused the request; it was never dispatched
+    upstream_untouched, ///< the receiving node sent no byte of the request to its upstream
+    upstream_shed       ///< the upstream answered 503 with `Poplar-Not-Run: true`
+};
+
+/// @brief The receiver refused the request before dispatch and said so in its answer.
+struct refused
+{
+    refusal_proof proof{refusal_proof::admission_refused};
+    std::vector<core::node_id> better; ///< better placed peers, best first
+};
+
+/// @brief RST_STREAM with the code REFUSED_STREAM (RFC 9113, 8.7).
+struct refused_stream
+{
+};
+
+/// @brief GOAWAY arrived on the connection of the attempt.
+struct goaway
+{
+    std::int32_t stream{0};      ///< the attempt's own stream
+    std::int32_t last_stream{0}; ///< last stream that the peer may have processed
+};
+
+/// @brief The connection, or the stream alone, ended without proof that the request was not processed.
+struct connection_lost
+{
+};
+
+/// @brief The head of an answer arrived whose `poplar-outcome` is `answered`.
+struct answer_head
+{
+};
+
+/// @brief The answer is complete.
+struct answer_end
+{
+};
+
+/// @brief The receiver reported that it sent the request to its upstream and knows no outcome.
+struct unknown_reported
+{
+};
+
+/// @brief A timer at the sender expired.
+struct local_timeout
+{
+};
+
+/// @brief The caller withdrew the request.
+struct cancelled
+{
+};
+
+/// @brief Another attempt of the same call answered first.
+struct hedge_lost
+{
+};
+
+/// @brief There was no endpoint to start the attempt with.
+struct no_endpoint
+{
+};
+
+/// @brief Everything that can happen to an attempt.
+using attempt_event = std::variant<request_bytes_sent, refused, refused_stream, goaway, connection_lost, answer_head,
+                                   answer_end, unknown_reported, local_timeout, cancelled, hedge_lost, no_endpoint>;
+
+} // namespace poplarport::attempts
--- /dev/null
+++ b/libs/attempts/include/poplarport/attempts/call.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>      // uint64_t
+#include <optional>     // optional
+#include <random>       // mt19937_64
+#include <system_error> // error_code
+#include <vector>       // vector
+
+#include "poplarport/attempts/attempt.hpp"
+#include "poplarport/attempts/call_action.hpp"
+#include "poplarport/attempts/call_settings.hpp"
+#include "poplarport/attempts/retry_budget.hpp"
+
+namespace poplarport::attempts
+{
+
+/// @brief Drives one call through its attempts.
+///
+/// The owner carries out the returned actions, reports what happens to each attempt, and calls `tick` at
+/// `next_wakeup`. After the action `finish` every further event is counted and ignored.
+class call
+{
+  public:
+    /// @param[in] request what is known about the request
+    /// @param[in] limits  limits for its attempts
+    /// @param[in] budget  retry budget of the service; must outlive the call
+    call(const call_request& request, const call_limits& limits, retry_budget& budget);
+
+    /// @brief Starts the first attempt. Must be called once, before everything else.
+    /// @param[in] now the present time
+    /// @return the start of the first attempt, or the end if the deadline has passed
+    [[nodiscard]] call_actions start(core::time_point now);
+
+    /// @brief Notes the endpoint that the owner picked for an attempt; later attempts exclude it.
+    void on_endpoint_chosen(const core::node_id& endpoint);
+
+    /// @brief Notes that a part of the request's body is no longer held; from now on no other attempt starts.
+    void on_body_discarded() noexcept;
+
+    /// @brief Processes an event of an attempt.
+    [[nodiscard]] call_actions on_event(attempt_id id, const attempt_event& event, core::time_point now,
+                                        std::mt19937_64& random);
+
+    /// @brief Processes the withdrawal of the request by its caller.
+    [[nodiscard]] call_actions on_cancelled();
+
+    /// @brief Ends the call at its deadline and starts a hedge or a delayed retry when it is due.
+    [[nodiscard]] call_actions tick(core::time_point now);
+
+    /// @return when `tick` must be called next, or nothing after the end
+    [[nodiscard]] std::optional<core::time_point> next_wakeup() const;
+
+    /// @return whether the call has ended
+    [[nodiscard]] bool finished() const noexcept
+    {
+        return this->over;
+    }
+
+    /// @return the attempt whose head was forwarded, if there is one
+    [[nodiscard]] std::optional<attempt_id> forwarded() const noexcept
+    {
+        return this->winner;
+    }
+
+    /// @return events that arrived after the end of their attempt, or that name no attempt
+    [[nodiscard]] std::uint64_t late_events() const noexcept;
+
+  private:
+    struct pending_start
+    {
+        core::time_point due;
+        std::optional<core::node_id> preferred;
+    };
+
+    [[nodiscard]] start_parameters open_attempt(core::time_point now, std::optional<core::node_id> preferred);
+    [[nodiscard]] std::error_code reason_against_attempt(core::time_point now) const;
+    [[nodiscard]] std::error_code reason_against_retry(core::time_point now) const;
+    [[nodiscard]] std::optional<core::node_id> untried(const std::vector<core::node_id>& candidates) const;
+    [[nodiscard]] core::duration retry_delay(std::mt19937_64& random) const;
+    [[nodiscard]] bool any_in_progress() const;
+    [[nodiscard]] core::outcome overall_outcome() const;
+
+    void on_head(attempt_id id, call_actions& actions);
+    void on_ended(const attempt_event& event, const attempt_result& result, core::time_point now,
+                  std::mt19937_64& random, call_actions& actions);
+    void end_others(std::optional<attempt_id> kept, const attempt_event& event, call_actions& actions);
+    void end_call(core::outcome outcome, std::error_code code, std::error_code stopped_by, call_actions& actions);
+    void start_pending(core::time_point now, call_actions& actions);
+    void start_due_hedge(core::time_point now, call_actions& actions);
+
+    call_request request;
+    call_limits limits;
+    retry_budget* budget;
+    std::vector<attempt> attempts;
+    std::vector<core::node_id> tried;
+    std::optional<pending_start> pending;
+    std::optional<core::time_point> hedge_due;
+    std::optional<attempt_id> winner;
+    std::uint32_t extra_attempts{0};
+    bool redirected{false};
+    bool body_held{true};
+    bool over{false};
+    std::uint64_t stray_events{0};
+};
+
+} // namespace poplarport::attempts
--- /dev/null
+++ b/libs/attempts/include/poplarport/attempts/call_action.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>      // uint32_t
+#include <optional>     // optional
+#include <system_error> // error_code
+#include <variant>      // variant
+#include <vector>       // vector
+
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/outcome.hpp"
+#include "poplarport/core/time.hpp"
+
+namespace poplarport::attempts
+{
+
+/// @brief Number of an attempt within its call, from zero.
+using attempt_id = std::uint32_t;
+
+/// @brief Parameters of an attempt that is about to start.
+struct start_parameters
+{
+    attempt_id attempt{0};
+    std::vector<core::node_id> excluded;    ///< endpoints that were tried already
+    std::optional<core::node_id> preferred; ///< endpoint to which a receiver redirected the call
+    core::duration time_left{0};            ///< sent along as `poplar-time-left-us`
+    std::uint32_t attempt_number{1};        ///< sent along as `poplar-attempt`
+    std::uint32_t depth{0};                 ///< sent along as `poplar-depth`
+};
+
+/// @brief Start an attempt: pick an endpoint and send the request.
+struct start_attempt
+{
+    start_parameters parameters;
+};
+
+/// @brief Start an attempt beside the one in progress.
+struct start_hedge
+{
+    start_parameters parameters;
+};
+
+/// @brief Reset the stream of an attempt whose answer is not wanted any more.
+struct cancel_attempt
+{
+    attempt_id attempt{0};
+};
+
+/// @brief Send the head of this attempt's answer to the caller, and the body that follows it.
+struct forward_head
+{
+    attempt_id attempt{0};
+};
+
+/// @brief The call is over; emitted exactly once.
+struct finish
+{
+    core::outcome outcome{core::outcome::unknown};
+    std::error_code code;       ///< how the last attempt ended; empty for `answered`
+    std::error_code stopped_by; ///< why no further attempt was made; empty when none was wanted
+};
+
+/// @brief What the owner of a call must do.
+using call_action = std::variant<start_attempt, start_hedge, cancel_attempt, forward_head, finish>;
+
+/// @brief Actions in the order in which they must be carried out.
+using call_actions = std::vector<call_action>;
+
+} // namespace poplarport::attempts
--- /dev/null
+++ b/libs/attempts/include/poplarport/attempts/retry_budget.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstddef> // size_t
+#include <cstdint> // uint64_t
+#include <vector>  // vector
+
+#include "poplarport/core/time.hpp"
+
+namespace poplarport::attempts
+{
+
+/// @brief Settings of a retry budget.
+struct retry_budget_settings
+{
+    /// Retries per call. One in ten keeps the added load small when every call of a service fails.
+    double ratio{0.1};
+    /// Retries per window that are allowed without any call, so that a service with few calls is retried at all.
+    std::uint64_t minimum{3};
+    /// Span over which calls and retries are counted.
+    core::duration window{std::chrono::seconds{10}};
+    /// Parts into which the window is divided; counts expire one part at a time.
+    std::size_t buckets{10};
+};
+
+/// @brief Limits the retries and hedges of one service to a ratio of its calls within a sliding window.
+class retry_budget
+{
+  public:
+    /// @param[in] settings limits; the window is at least as many nanoseconds as there are buckets
+    explicit retry_budget(retry_budget_settings settings = {});
+
+    /// @brief Counts the first attempt of a call.
+    void on_call(core::time_point now);
+
+    /// @brief Takes one retry or hedge from the budget.
+    /// @return whether it was available
+    [[nodiscard]] bool try_spend(core::time_point now);
+
+    /// @return retries and hedges that may start at `now`
+    [[nodiscard]] std::uint64_t available(core::time_point now);
+
+    /// @return requests for a retry or hedge that were turned down
+    [[nodiscard]] std::uint64_t refused() const noexcept
+    {
+        return this->turned_down;
+    }
+
+  private:
+    struct bucket
+    {
+        std::uint64_t calls{0};
+        std::uint64_t retries{0};
+    };
+
+    void advance(core::time_point now);
+    [[nodiscard]] bucket& current() noexcept;
+
+    retry_budget_settings limits;
+    std::vector<bucket> parts;
+    std::int64_t position{0};
+    bucket total;
+    std::uint64_t turned_down{0};
+};
+
+} // namespace poplarport::attempts
--- /dev/null
+++ b/libs/attempts/src/call.cpp
@@ -0,0 +1,339 @@
+#include "poplarport/attempts/call.hpp"
+
+#include <algorithm> // any_of, find, min
+#include <cassert>   // assert
+
+namespace poplarport::attempts
+{
+
+call::call(const call_request& request_, const call_limits& limits_, retry_budget& budget_)
+    : request(request_), limits(limits_), budget(&budget_)
+{
+}
+
+call_actions call::start(core::time_point now)
+{
+    assert(this->attempts.empty());
+    call_actions actions;
+    if (now >= this->request.deadline)
+    {
+        this->end_call(core::outcome::not_run, error::deadline_passed, error::deadline_passed, actions);
+        return actions;
+    }
+    this->budget->on_call(now);
+    if (this->request.repeatable && this->request.hedge_delay)
+    {
+        this->hedge_due = now + *this->request.hedge_delay;
+    }
+    actions.emplace_back(start_attempt{this->open_attempt(now, std::nullopt)});
+    return actions;
+}
+
+void call::on_endpoint_chosen(const core::node_id& endpoint)
+{
+    if (std::ranges::find(this->tried, endpoint) == this->tried.end())
+    {
+        this->tried.push_back(endpoint);
+    }
+}
+
+void call::on_body_discarded() noexcept
+{
+    this->body_held = false;
+}
+
+call_actions call::on_event(attempt_id id, const attempt_event& event, core::time_point now, std::mt19937_64& random)
+{
+    call_actions actions;
+    if (id >= this->attempts.size())
+    {
+        ++this->stray_events;
+        return actions;
+    }
+    const bool was_answering = this->attempts[id].current() == attempt::state::answering;
+    const auto result = this->attempts[id].handle(event);
+    if (this->over)
+    {
+        return actions;
+    }
+    if (!was_answering && this->attempts[id].current() == attempt::state::answering)
+    {
+        this->on_head(id, actions);
+    }
+    if (result)
+    {
+        // The receiver still works on an attempt that only the sender gave up.
+        if (std::holds_alternative<local_timeout>(event) || std::holds_alternative<cancelled>(event))
+        {
+            actions.emplace_back(cancel_attempt{id});
+        }
+        this->on_ended(event, *result, now, random, actions);
+    }
+    return actions;
+}
+
+call_actions call::on_cancelled()
+{
+    call_actions actions;
+    if (this->over)
+    {
+        return actions;
+    }
+    this->end_others(std::nullopt, cancelled{}, actions);
+    this->end_call(this->overall_outcome(), error::cancelled_by_caller, {}, actions);
+    return actions;
+}
+
+call_actions call::tick(core::time_point now)
+{
+    call_actions actions;
+    if (this->over)
+    {
+        return actions;
+    }
+    if (now >= this->request.deadline)
+    {
+        this->end_others(std::nullopt, local_timeout{}, actions);
+        const auto code = this->attempts.back().result()->code;
+        this->end_call(this->overall_outcome(), code, error::deadline_passed, actions);
+        return actions;
+    }
+    this->start_pending(now, actions);
+    this->start_due_hedge(now, actions);
+    return actions;
+}
+
+std::optional<core::time_point> call::next_wakeup() const
+{
+    if (this->over)
+    {
+        return std::nullopt;
+    }
+    auto next = this->request.deadline;
+    if (this->pending)
+    {
+        next = std::min(next, this->pending->due);
+    }
+    if (this->hedge_due && this->any_in_progress())
+    {
+        next = std::min(next, *this->hedge_due);
+    }
+    return next;
+}
+
+std::uint64_t call::late_events() const noexcept
+{
+    std::uint64_t sum = this->stray_events;
+    for (const attempt& each : this->attempts)
+    {
+        sum += each.late_events();
+    }
+    return sum;
+}
+
+start_parameters call::open_attempt(core::time_point now, std::optional<core::node_id> preferred)
+{
+    start_parameters parameters;
+    parameters.attempt = static_cast<attempt_id>(this->attempts.size());
+    parameters.excluded = this->tried;
+    parameters.preferred = std::move(preferred);
+    parameters.time_left = this->request.deadline - now;
+    parameters.attempt_number = this->request.attempt_number + this->extra_attempts;
+    parameters.depth = this->request.depth;
+    this->attempts.emplace_back();
+    if (this->hedge_due)
+    {
+        this->hedge_due = now + *this->request.hedge_delay;
+    }
+    return parameters;
+}
+
+std::error_code call::reason_against_attempt(core::time_point now) const
+{
+    if (this->winner)
+    {
+        return error::head_already_forwarded;
+    }
+    if (!this->request.repeatable && this->overall_outcome() != core::outcome::not_run)
+    {
+        return error::not_repeatable;
+    }
+    if (!this->body_held)
+    {
+        return error::body_not_replayable;
+    }
+    if (this->request.deadline - now < this->limits.minimum_time_left)
+    {
+        return error::deadline_passed;
+    }
+    return {};
+}
+
+std::error_code call::reason_against_retry(core::time_point now) const
+{
+    if (const auto reason = this->reason_against_attempt(now))
+    {
+        return reason;
+    }
+    if (this->request.depth > this->limits.depth)
+    {
+        return error::depth_limit;
+    }
+    if (this->request.attempt_number + this->extra_attempts >= this->limits.attempts)
+    {
+        return error::attempt_limit;
+    }
+    return {};
+}
+
+std::optional<core::node_id> call::untried(const std::vector<core::node_id>& candidates) const
+{
+    const auto is_untried = [this](const core::node_id& id)
+    {
+        return std::ranges::find(this->tried, id) == this->tried.end();
+    };
+    const auto found = std::ranges::find_if(candidates, is_untried);
+    return found == candidates.end() ? std::nullopt : std::optional{*found};
+}
+
+core::duration call::retry_delay(std::mt19937_64& random) const
+{
+    // The first retry goes to another endpoint at once. Later ones wait at random, because several endpoints that
+    // fail together point to overload.
+    if (this->extra_attempts <= 1)
+    {
+        return core::duration::zero();
+    }
+    constexpr std::uint32_t highest_shift = 10;
+    const auto shift = std::min(this->extra_attempts - 2, highest_shift);
+    const auto bound = this->limits.backoff.count() * (std::int64_t{1} << shift);
+    return core::duration{std::uniform_int_distribution<std::int64_t>{0, bound}(random)};
+}
+
+bool call::any_in_progress() const
+{
+    const auto in_progress = [](const attempt& each)
+    {
+        return !each.result();
+    };
+    return std::ranges::any_of(this->attempts, in_progress);
+}
+
+core::outcome call::overall_outcome() const
+{
+    const auto proved = [](const attempt& each)
+    {
+        return each.result() && each.result()->outcome == core::outcome::not_run;
+    };
+    return std::ranges::all_of(this->attempts, proved) ? core::outcome::not_run : core::outcome::unknown;
+}
+
+void call::on_head(attempt_id id, call_actions& actions)
+{
+    this->winner = id;
+    this->hedge_due.reset();
+    this->pending.reset();
+    this->end_others(id, hedge_lost{}, actions);
+    actions.emplace_back(forward_head{id});
+}
+
+void call::on_ended(const attempt_event& event, const attempt_result& result, core::time_point now,
+                    std::mt19937_64& random, call_actions& actions)
+{
+    if (result.outcome == core::outcome::answered)
+    {
+        this->end_call(core::outcome::answered, {}, {}, actions);
+        return;
+    }
+    if (this->any_in_progress())
+    {
+        return;
+    }
+    if (const auto reason = this->reason_against_attempt(now))
+    {
+        this->end_call(this->overall_outcome(), result.code, reason, actions);
+        return;
+    }
+    if (result.code == error::no_endpoint)
+    {
+        this->end_call(this->overall_outcome(), result.code, {}, actions);
+        return;
+    }
+    const auto* refusal = std::get_if<refused>(&event);
+    const auto better = refusal != nullptr ? this->untried(refusal->better) : std::nullopt;
+    if (better && !this->redirected)
+    {
+        this->redirected = true;
+        actions.emplace_back(start_attempt{this->open_attempt(now, better)});
+        return;
+    }
+    auto reason = this->reason_against_retry(now);
+    if (!reason && !this->budget->try_spend(now))
+    {
+        reason = error::budget_exhausted;
+    }
+    if (reason)
+    {
+        this->end_call(this->overall_outcome(), result.code, reason, actions);
+        return;
+    }
+    ++this->extra_attempts;
+    this->pending = pending_start{now + this->retry_delay(random), better};
+    this->start_pending(now, actions);
+}
+
+void call::end_others(std::optional<attempt_id> kept, const attempt_event& event, call_actions& actions)
+{
+    for (attempt_id id = 0; id < this->attempts.size(); ++id)
+    {
+        if (id == kept || this->attempts[id].result())
+        {
+            continue;
+        }
+        this->attempts[id].handle(event);
+        actions.emplace_back(cancel_attempt{id});
+    }
+}
+
+void call::end_call(core::outcome outcome, std::error_code code, std::error_code stopped_by, call_actions& actions)
+{
+    assert(!this->over);
+    this->over = true;
+    this->pending.reset();
+    this->hedge_due.reset();
+    actions.emplace_back(finish{outcome, code, stopped_by});
+}
+
+void call::start_pending(core::time_point now, call_actions& actions)
+{
+    if (!this->pending || now < this->pending->due)
+    {
+        return;
+    }
+    const auto preferred = this->pending->preferred;
+    this->pending.reset();
+    // The body may have been discarded, or the time used up, since the retry was granted.
+    if (const auto reason = this->reason_against_attempt(now))
+    {
+        this->end_call(this->overall_outcome(), this->attempts.back().result()->code, reason, actions);
+        return;
+    }
+    actions.emplace_back(start_attempt{this->open_attempt(now, preferred)});
+}
+
+void call::start_due_hedge(core::time_point now, call_actions& actions)
+{
+    if (this->over || !this->hedge_due || now < *this->hedge_due || !this->any_in_progress())
+    {
+        return;
+    }
+    this->hedge_due.reset();
+    if (this->reason_against_retry(now) || !this->budget->try_spend(now))
+    {
+        return;
+    }
+    ++this->extra_attempts;
+    actions.emplace_back(start_hedge{this->open_attempt(now, std::nullopt)});
+}
+
+} // namespace poplarport::attempts
