--- /dev/null
+++ b/libs/membership/include/poplarport/membership/detector.hpp
@@ -0,0 +1,221 @@
+#pragma once
+
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <map>      // map
+#include <optional> // optional
+#include <random>   // mt19937_64
+#include <string>   // string
+#include <vector>   // vector
+
+#include "poplarport/core/time.hpp"
+#include "poplarport/membership/detail/gossip_queue.hpp"
+#include "poplarport/membership/detail/member_table.hpp"
+#include "poplarport/membership/detector_settings.hpp"
+#include "poplarport/membership/member_event.hpp"
+#include "poplarport/membership/message.hpp"
+
+namespace poplarport::membership
+{
+
+/// @brief A datagram to send.
+struct outgoing
+{
+    core::socket_address to;
+    membership::message message;
+};
+
+/// @brief What the owner of a detector must do.
+struct detector_output
+{
+    std::vector<outgoing> messages;
+    std::vector<member_event> events;
+};
+
+/// @brief Counters of a detector; they only grow.
+struct detector_counters
+{
+    std::uint64_t other_service{0};  ///< messages of another service (code 600)
+    std::uint64_t other_target{0};   ///< pings for another member (code 601)
+    std::uint64_t unmatched_acks{0}; ///< acks that came too late or twice
+    std::uint64_t refutations{0};    ///< suspicions or reports of its own end that this member refuted
+    std::uint64_t suspicions{0};     ///< members that did not answer this member's probe
+    std::uint64_t freezes{0};        ///< long delays of this process
+    std::uint64_t oversized{0};      ///< entries that are too large to be passed on
+    std::uint64_t relays_refused{0}; ///< indirect probes that were not relayed because too many were in progress
+};
+
+/// @brief Keeps the list of a service's members by probing and gossip (SWIM).
+///
+/// In each interval one other member is probed, at first directly and then through others. A member that does not
+/// answer is suspect; it is declared dead unless it refutes by a higher revision in time. Changes travel with the
+/// probes and, while there are any, in separate small messages. Lists are compared now and then, also with members
+/// that ended, so that the sides of a healed partition find each other.
+///
+/// The owner calls `tick` at `next_wakeup`. A tick that comes much later means that the process was frozen; then the
+/// timers of all members start again, because their answers may wait unread in the socket.
+class detector
+{
+  public:
+    class builder;
+
+    /// @brief Replaces the addresses that are contacted while no member is known, from the seeds object.
+    void set_seeds(std::vector<core::socket_address> addresses);
+
+    /// @brief Probes, sends news and compares lists as far as each is due.
+    /// @param[in]     now    the present time
+    /// @param[in,out] random source of jitter and choices
+    [[nodiscard]] detector_output tick(core::time_point now, std::mt19937_64& random);
+
+    /// @brief Processes a datagram.
+    /// @param[in]     from    address that the datagram came from, to which an answer is sent
+    /// @param[in]     value   the decoded message
+    /// @param[in]     now     the present time
+    /// @param[in,out] random  source of jitter and choices
+    [[nodiscard]] detector_output receive(const core::socket_address& from, const message& value, core::time_point now,
+                                          std::mt19937_64& random);
+
+    /// @brief Announces that this member takes no new work; cannot be undone.
+    void drain(core::time_point now);
+
+    /// @brief Announces the end of this member. Afterwards the detector is passive.
+    /// @return the announcement to some members
+    [[nodiscard]] detector_output leave(core::time_point now, std::mt19937_64& random);
+
+    /// @brief Announces the newest configuration version that this member holds; a lower one is ignored.
+    void set_configuration_version(core::version version, core::time_point now);
+
+    /// @return the live members with this one, in order of their ids
+    [[nodiscard]] std::vector<member> members() const;
+
+    /// @brief Answers an observer or another reader of the list.
+    /// @param[in] known_hash hash of the list that the reader holds, zero for none
+    /// @param[in] now        the present time
+    /// @return the live and the remembered ended members with this one, or only that the list is unchanged
+    [[nodiscard]] list_answer list(std::uint64_t known_hash, core::time_point now) const;
+
+    /// @return this member's own entry
+    [[nodiscard]] const member& self() const noexcept
+    {
+        return this->own;
+    }
+
+    /// @return when `tick` must be called next
+    [[nodiscard]] core::time_point next_wakeup() const;
+
+    /// @return counters
+    [[nodiscard]] const detector_counters& counters() const noexcept
+    {
+        return this->counts;
+    }
+
+  private:
+    struct probe_state
+    {
+        core::node_id target;
+        std::uint64_t sequence{0};
+        core::time_point direct_end;
+        bool indirect_sent{false};
+    };
+
+    struct relay
+    {
+        core::socket_address requester;
+        std::uint64_t sequence{0};
+        core::time_point expiry;
+    };
+
+    detector(std::string service_name, member self, const detector_settings& settings,
+             std::vector<core::socket_address> seed_addresses, core::time_point now, std::mt19937_64& random);
+
+    [[nodiscard]] bool passive() const noexcept;
+    void note_time(core::time_point now, std::mt19937_64& random);
+    void expect_wakeup(core::time_point now);
+
+    void probe_when_due(core::time_point now, std::mt19937_64& random, detector_output& output);
+    void start_probe(core::time_point now, std::mt19937_64& random, detector_output& output);
+    void send_indirect_probes(core::time_point now, std::mt19937_64& random, detector_output& output);
+    void suspect_probed(core::time_point now, std::mt19937_64& random, detector_output& output);
+    [[nodiscard]] std::optional<core::node_id> next_target(std::mt19937_64& random);
+    void expire_members(core::time_point now, detector_output& output);
+    void gossip_when_due(core::time_point now, std::mt19937_64& random, detector_output& output);
+    void sync_when_due(core::time_point now, std::mt19937_64& random, detector_output& output);
+    void join(core::time_point now, std::mt19937_64& random, detector_output& output);
+
+    void handle(const core::socket_address& from, const ping& value, core::time_point now, std::mt19937_64& random,
+                detector_output& output);
+    void handle(const core::socket_address& from, const ack& value, core::time_point now, std::mt19937_64& random,
+                detector_output& output);
+    void handle(const core::socket_address& from, const indirect_ping& value, core::time_point now,
+                std::mt19937_64& random, detector_output& output);
+    void handle(const core::socket_address& from, const sync_request& value, core::time_point now,
+                std::mt19937_64& random, detector_output& output);
+    void handle(const core::socket_address& from, const member_news& value, core::time_point now,
+                std::mt19937_64& random, detector_output& output);
+
+    void apply_all(const std::vector<member_entry>& entries, core::time_point now, std::mt19937_64& random,
+                   detector_output& output);
+    void apply(const member_entry& entry, core::time_point now, std::mt19937_64& random, detector_output& output);
+    void apply_about_self(const member& claimed, core::time_point now, detector_output& output);
+    void publish_own(core::time_point now);
+
+    [[nodiscard]] message_header header() const;
+    [[nodiscard]] std::vector<member_entry> entries(core::time_point now) const;
+    [[nodiscard]] std::vector<member_entry> take_gossip(std::size_t used_bytes, const core::node_id& receiver,
+                                                        bool about_receiver, core::time_point now);
+    [[nodiscard]] bool differs_from_table(const member& sender) const;
+    void send_list(const core::socket_address& to, bool answer_wanted, core::time_point now, std::mt19937_64& random,
+                   detector_output& output) const;
+    [[nodiscard]] std::vector<member> pick_live(std::size_t count, const core::node_id& except,
+                                                std::mt19937_64& random) const;
+    [[nodiscard]] std::uint64_t own_hash() const;
+    [[nodiscard]] core::duration suspicion_time() const;
+    [[nodiscard]] std::size_t transmissions() const;
+
+    std::string service;
+    member own;
+    detector_settings limits;
+    std::vector<core::socket_address> seeds;
+    detail::member_table table;
+    detail::gossip_queue news;
+    std::vector<core::node_id> probe_order;
+    std::optional<probe_state> probe;
+    std::map<std::uint64_t, relay> relays;
+    std::uint64_t last_sequence{0};
+    core::time_point next_probe;
+    core::time_point next_gossip;
+    core::time_point next_sync;
+    core::time_point expected_wakeup;
+    core::duration join_backoff{0};
+    bool is_superseded{false};
+    detector_counters counts;
+};
+
+/// @brief Builds a detector.
+class detector::builder
+{
+  public:
+    /// @param[in] name name of the service
+    builder& service(std::string name);
+
+    /// @param[in] value this member's entry, with the incarnation of this start
+    builder& self(member value);
+
+    /// @param[in] value settings, the same for all members of the service
+    builder& settings(const detector_settings& value);
+
+    /// @param[in] addresses peer addresses from the seeds object, may include this member's own
+    builder& seeds(std::vector<core::socket_address> addresses);
+
+    /// @param[in]     now    the present time
+    /// @param[in,out] random source of jitter and of the first sequence number
+    [[nodiscard]] detector build(core::time_point now, std::mt19937_64& random) const;
+
+  private:
+    std::string service_name;
+    member own;
+    detector_settings limits;
+    std::vector<core::socket_address> seed_addresses;
+};
+
+} // namespace poplarport::membership
--- /dev/null
+++ b/libs/membership/src/detector.cpp
@@ -0,0 +1,389 @@
+#include "poplarport/membership/detector.hpp"
+
+#include <algorithm> // max, min, ranges::shuffle, ranges::sort
+#include <cassert>   // assert
+#include <cmath>     // ceil, log10, log2
+#include <iterator>  // back_inserter
+#include <utility>   // move
+
+#include "poplarport/membership/detail/jitter.hpp"
+
+namespace poplarport::membership
+{
+
+namespace
+{
+
+/// Seeds that are contacted in each attempt to join.
+constexpr std::size_t join_contacts = 3;
+
+} // namespace
+
+detector::detector(std::string service_name, member self, const detector_settings& settings,
+                   std::vector<core::socket_address> seed_addresses, core::time_point now, std::mt19937_64& random)
+    : service(std::move(service_name)), own(std::move(self)), limits(settings), seeds(std::move(seed_addresses)),
+      table(settings.ended_retention), last_sequence(random()),
+      next_probe(now + detail::up_to(settings.start_jitter + settings.probe_interval, random)), next_gossip(now),
+      next_sync(now + detail::up_to(settings.start_jitter, random)), join_backoff(settings.probe_interval)
+{
+    this->news.add(this->own.id);
+    this->expect_wakeup(now);
+}
+
+void detector::set_seeds(std::vector<core::socket_address> addresses)
+{
+    this->seeds = std::move(addresses);
+}
+
+detector_output detector::tick(core::time_point now, std::mt19937_64& random)
+{
+    detector_output output;
+    if (this->passive())
+    {
+        return output;
+    }
+    this->note_time(now, random);
+    std::erase_if(this->relays, [now](const auto& each) { return now >= each.second.expiry; });
+    this->probe_when_due(now, random, output);
+    this->expire_members(now, output);
+    this->sync_when_due(now, random, output);
+    this->gossip_when_due(now, random, output);
+    this->expect_wakeup(now);
+    return output;
+}
+
+void detector::drain(core::time_point now)
+{
+    if (this->own.draining)
+    {
+        return;
+    }
+    this->own.draining = true;
+    ++this->own.revision;
+    this->publish_own(now);
+}
+
+detector_output detector::leave(core::time_point now, std::mt19937_64& random)
+{
+    detector_output output;
+    if (this->passive())
+    {
+        return output;
+    }
+    this->own.state = member_state::left;
+    ++this->own.revision;
+    for (const member& peer : this->pick_live(this->limits.leave_fanout, this->own.id, random))
+    {
+        output.messages.push_back({peer.peer_address, member_news{this->header(), false, {}}});
+    }
+    this->expect_wakeup(now);
+    return output;
+}
+
+void detector::set_configuration_version(core::version version, core::time_point now)
+{
+    if (version <= this->own.configuration_version)
+    {
+        return;
+    }
+    this->own.configuration_version = version;
+    ++this->own.revision;
+    this->publish_own(now);
+}
+
+std::vector<member> detector::members() const
+{
+    auto members = this->table.live();
+    if (is_live(this->own))
+    {
+        members.push_back(this->own);
+    }
+    std::ranges::sort(members, {}, &member::id);
+    return members;
+}
+
+list_answer detector::list(std::uint64_t known_hash, core::time_point now) const
+{
+    const auto hash = this->own_hash();
+    if (hash == known_hash)
+    {
+        return {hash, true, {}};
+    }
+    return {hash, false, this->entries(now)};
+}
+
+std::vector<member_entry> detector::entries(core::time_point now) const
+{
+    std::vector<member_entry> result{{this->own, {}}};
+    for (const auto& [id, record] : this->table.records())
+    {
+        result.push_back(this->table.entry(record, now));
+    }
+    return result;
+}
+
+core::time_point detector::next_wakeup() const
+{
+    auto next = std::min(this->next_probe, this->next_sync);
+    if (this->probe && !this->probe->indirect_sent)
+    {
+        next = std::min(next, this->probe->direct_end);
+    }
+    if (const auto expiry = this->table.next_expiry())
+    {
+        next = std::min(next, *expiry);
+    }
+    if (!this->news.empty() && !this->table.live().empty())
+    {
+        next = std::min(next, this->next_gossip);
+    }
+    return next;
+}
+
+bool detector::passive() const noexcept
+{
+    return this->is_superseded || this->own.state == member_state::left;
+}
+
+void detector::note_time(core::time_point now, std::mt19937_64& random)
+{
+    const auto delay = now - this->expected_wakeup;
+    if (delay <= this->limits.freeze_tolerance)
+    {
+        return;
+    }
+    // Answers that arrived during the freeze are still unread, so nothing may be concluded from their absence.
+    ++this->counts.freezes;
+    this->probe.reset();
+    this->table.postpone_suspicions(delay);
+    this->next_probe = now + detail::up_to(this->limits.probe_interval, random);
+}
+
+void detector::expect_wakeup(core::time_point now)
+{
+    this->expected_wakeup = std::max(now, this->next_wakeup());
+}
+
+void detector::probe_when_due(core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    if (now >= this->next_probe)
+    {
+        this->suspect_probed(now, random, output);
+        this->start_probe(now, random, output);
+        this->next_probe = now + this->limits.probe_interval;
+        return;
+    }
+    if (this->probe && !this->probe->indirect_sent && now >= this->probe->direct_end)
+    {
+        this->send_indirect_probes(now, random, output);
+    }
+}
+
+void detector::start_probe(core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    const auto target = this->next_target(random);
+    if (!target)
+    {
+        return;
+    }
+    const member& peer = this->table.find(*target)->member;
+    this->probe = probe_state{*target, ++this->last_sequence, now + this->limits.probe_timeout, false};
+    ping value{this->header(), this->probe->sequence, *target, {}};
+    // A suspect member is told first of all that it is suspect, so that it can refute in its answer.
+    value.gossip = this->take_gossip(estimated_size(message{value}), *target, peer.state != member_state::alive, now);
+    output.messages.push_back({peer.peer_address, std::move(value)});
+}
+
+void detector::send_indirect_probes(core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    this->probe->indirect_sent = true;
+    const auto* target = this->table.find(this->probe->target);
+    if (target == nullptr)
+    {
+        return;
+    }
+    for (const member& helper : this->pick_live(this->limits.indirect_probes, this->probe->target, random))
+    {
+        indirect_ping value{
+            this->header(), this->probe->sequence, this->probe->target, target->member.peer_address, {}};
+        value.gossip = this->take_gossip(estimated_size(message{value}), helper.id, false, now);
+        output.messages.push_back({helper.peer_address, std::move(value)});
+    }
+}
+
+void detector::suspect_probed(core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    if (!this->probe)
+    {
+        return;
+    }
+    const auto* target = this->table.find(this->probe->target);
+    this->probe.reset();
+    if (target == nullptr || target->member.state != member_state::alive)
+    {
+        return;
+    }
+    ++this->counts.suspicions;
+    member_entry entry{target->member, {}};
+    entry.member.state = member_state::suspect;
+    this->apply(entry, now, random, output);
+}
+
+std::optional<core::node_id> detector::next_target(std::mt19937_64& random)
+{
+    // Each round visits every live member once in random order, which bounds the time until a member is probed.
+    for (int round = 0; round < 2; ++round)
+    {
+        while (!this->probe_order.empty())
+        {
+            const auto id = this->probe_order.back();
+            this->probe_order.pop_back();
+            const auto* record = this->table.find(id);
+            if (record != nullptr && is_live(record->member))
+            {
+                return id;
+            }
+        }
+        for (const member& each : this->table.live())
+        {
+            this->probe_order.push_back(each.id);
+        }
+        std::ranges::shuffle(this->probe_order, random);
+    }
+    return std::nullopt;
+}
+
+void detector::expire_members(core::time_point now, detector_output& output)
+{
+    std::vector<core::node_id> forgotten;
+    for (member_event& event : this->table.expire(now, forgotten))
+    {
+        this->news.add(event.member.id);
+        output.events.push_back(std::move(event));
+    }
+    for (const core::node_id& id : forgotten)
+    {
+        this->news.remove(id);
+    }
+}
+
+void detector::gossip_when_due(core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    if (this->news.empty() || now < this->next_gossip)
+    {
+        return;
+    }
+    for (const member& peer : this->pick_live(this->limits.gossip_fanout, this->own.id, random))
+    {
+        member_news value{this->header(), false, {}};
+        value.entries =
+            this->take_gossip(estimated_size(message{value}), peer.id, peer.state != member_state::alive, now);
+        output.messages.push_back({peer.peer_address, std::move(value)});
+    }
+    this->next_gossip = now + this->limits.gossip_interval;
+}
+
+void detector::sync_when_due(core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    if (now < this->next_sync)
+    {
+        return;
+    }
+    if (this->table.live().empty())
+    {
+        this->join(now, random, output);
+        return;
+    }
+    this->join_backoff = this->limits.probe_interval;
+    this->next_sync = now + detail::around(this->limits.sync_interval, random);
+    std::vector<core::socket_address> partners;
+    for (const auto& [id, record] : this->table.records())
+    {
+        if (record.member.state != member_state::left)
+        {
+            partners.push_back(record.member.peer_address);
+        }
+    }
+    std::ranges::copy(this->seeds, std::back_inserter(partners));
+    const auto& partner = partners[detail::index_below(partners.size(), random)];
+    if (partner != this->own.peer_address)
+    {
+        output.messages.push_back({partner, sync_request{this->header(), this->own_hash()}});
+    }
+}
+
+void detector::join(core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    this->next_sync = now + detail::around(this->join_backoff, random);
+    this->join_backoff = std::min(this->join_backoff * 2, this->limits.join_backoff_limit);
+    std::vector<core::socket_address> contacts = this->seeds;
+    for (const auto& [id, record] : this->table.records())
+    {
+        contacts.push_back(record.member.peer_address);
+    }
+    std::erase(contacts, this->own.peer_address);
+    std::ranges::shuffle(contacts, random);
+    contacts.resize(std::min(contacts.size(), join_contacts));
+    for (const core::socket_address& contact : contacts)
+    {
+        output.messages.push_back({contact, sync_request{this->header(), this->own_hash()}});
+    }
+}
+
+void detector::publish_own(core::time_point now)
+{
+    this->news.add(this->own.id);
+    this->next_gossip = std::min(this->next_gossip, now);
+    this->expect_wakeup(now);
+}
+
+std::uint64_t detector::own_hash() const
+{
+    return list_hash(this->members());
+}
+
+core::duration detector::suspicion_time() const
+{
+    const auto size = static_cast<double>(this->table.live().size() + 1);
+    const auto factor = this->limits.suspicion_multiplier * std::max(1.0, std::log10(size));
+    return std::chrono::duration_cast<core::duration>(this->limits.probe_interval * factor);
+}
+
+std::size_t detector::transmissions() const
+{
+    const auto size = static_cast<double>(this->table.live().size() + 1);
+    return this->limits.retransmit_multiplier * static_cast<std::size_t>(std::ceil(std::log2(size + 1)));
+}
+
+detector::builder& detector::builder::service(std::string name)
+{
+    this->service_name = std::move(name);
+    return *this;
+}
+
+detector::builder& detector::builder::self(member value)
+{
+    this->own = std::move(value);
+    return *this;
+}
+
+detector::builder& detector::builder::settings(const detector_settings& value)
+{
+    this->limits = value;
+    return *this;
+}
+
+detector::builder& detector::builder::seeds(std::vector<core::socket_address> addresses)
+{
+    this->seed_addresses = std::move(addresses);
+    return *this;
+}
+
+detector detector::builder::build(core::time_point now, std::mt19937_64& random) const
+{
+    assert(!this->own.id.empty());
+    assert(this->limits.probe_timeout < this->limits.probe_interval);
+    return {this->service_name, this->own, this->limits, this->seed_addresses, now, random};
+}
+
+} // namespace poplarport::membership
--- /dev/null
+++ b/libs/membership/src/member_table.cpp
@@ -0,0 +1,167 @@
+#include "poplarport/membership/detail/member_table.hpp"
+
+#include <algorithm> // min
+#include <chrono>    // duration_cast, milliseconds
+
+namespace poplarport::membership::detail
+{
+
+namespace
+{
+
+member_change change_between(const member& before, const member& after) noexcept
+{
+    if (!is_live(after))
+    {
+        return after.state == member_state::left ? member_change::left : member_change::failed;
+    }
+    if (!is_live(before) || after.incarnation != before.incarnation)
+    {
+        return member_change::joined;
+    }
+    if (before.state == after.state)
+    {
+        return member_change::updated;
+    }
+    return after.state == member_state::suspect ? member_change::suspected : member_change::recovered;
+}
+
+} // namespace
+
+std::optional<member_event> member_table::apply(const member_entry& entry, core::duration suspicion,
+                                                core::time_point now)
+{
+    const auto ended_at = now - entry.ended_ago;
+    const bool expired = !is_live(entry.member) && entry.ended_ago >= this->ended_retention;
+    const auto found = this->by_id.find(entry.member.id);
+    if (found == this->by_id.end())
+    {
+        if (expired)
+        {
+            return std::nullopt;
+        }
+        member_record& record = this->by_id[entry.member.id];
+        record.member = entry.member;
+        note_state(record, suspicion, ended_at, now);
+        // A member of which only the end is known is remembered without a report.
+        return is_live(entry.member) ? std::optional{member_event{member_change::joined, entry.member}} : std::nullopt;
+    }
+    member_record& record = found->second;
+    const member before = record.member;
+    if (!merge(record.member, entry.member))
+    {
+        return std::nullopt;
+    }
+    if (before.state != record.member.state || before.revision != record.member.revision ||
+        before.incarnation != record.member.incarnation)
+    {
+        note_state(record, suspicion, ended_at, now);
+    }
+    if (!is_live(before) && !is_live(record.member))
+    {
+        return std::nullopt;
+    }
+    return member_event{change_between(before, record.member), record.member};
+}
+
+std::vector<member_event> member_table::expire(core::time_point now, std::vector<core::node_id>& forgotten)
+{
+    std::vector<member_event> events;
+    for (auto position = this->by_id.begin(); position != this->by_id.end();)
+    {
+        member_record& record = position->second;
+        if (record.suspicion_end && now >= *record.suspicion_end)
+        {
+            record.member.state = member_state::dead;
+            record.suspicion_end.reset();
+            record.ended_at = now;
+            events.push_back({member_change::failed, record.member});
+        }
+        if (record.ended_at && now - *record.ended_at >= this->ended_retention)
+        {
+            forgotten.push_back(position->first);
+            position = this->by_id.erase(position);
+            continue;
+        }
+        ++position;
+    }
+    return events;
+}
+
+void member_table::postpone_suspicions(core::duration delay)
+{
+    for (auto& [id, record] : this->by_id)
+    {
+        if (record.suspicion_end)
+        {
+            *record.suspicion_end += delay;
+        }
+    }
+}
+
+const member_record* member_table::find(const core::node_id& id) const
+{
+    const auto found = this->by_id.find(id);
+    return found == this->by_id.end() ? nullptr : &found->second;
+}
+
+member_entry member_table::entry(const member_record& record, core::time_point now) const
+{
+    member_entry result{record.member, {}};
+    if (record.ended_at)
+    {
+        result.ended_ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - *record.ended_at);
+    }
+    return result;
+}
+
+std::vector<member> member_table::live() const
+{
+    std::vector<member> members;
+    for (const auto& [id, record] : this->by_id)
+    {
+        if (is_live(record.member))
+        {
+            members.push_back(record.member);
+        }
+    }
+    return members;
+}
+
+std::optional<core::time_point> member_table::next_expiry() const
+{
+    std::optional<core::time_point> next;
+    const auto consider = [&next](core::time_point candidate)
+    {
+        next = next ? std::min(*next, candidate) : candidate;
+    };
+    for (const auto& [id, record] : this->by_id)
+    {
+        if (record.suspicion_end)
+        {
+            consider(*record.suspicion_end);
+        }
+        if (record.ended_at)
+        {
+            consider(*record.ended_at + this->ended_retention);
+        }
+    }
+    return next;
+}
+
+void member_table::note_state(member_record& record, core::duration suspicion, core::time_point ended_at,
+                              core::time_point now)
+{
+    record.suspicion_end.reset();
+    record.ended_at.reset();
+    if (record.member.state == member_state::suspect)
+    {
+        record.suspicion_end = now + suspicion;
+    }
+    if (!is_live(record.member))
+    {
+        record.ended_at = ended_at;
+    }
+}
+
+} // namespace poplarport::membership::detail
