--- /dev/null
+++ b/libs/measuring/include/poplarport/measuring/budget.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <chrono>  // microseconds, milliseconds, nanoseconds
+#include <cstdint> // uint64_t
+
+#include "poplarport/core/time.hpp"
+
+namespace poplarport::measuring
+{
+
+/// @brief What load measurement has used.
+struct expense
+{
+    std::uint64_t bytes{0};                     ///< bytes on the network
+    std::chrono::nanoseconds processor_time{0}; ///< time on a processor
+
+    bool operator==(const expense&) const = default;
+};
+
+/// @brief What load measurement may use.
+struct allowance
+{
+    expense per_window;                 ///< granted in each window
+    std::chrono::nanoseconds window{0}; ///< length of the window
+    std::chrono::nanoseconds burst{0};  ///< an idle bucket saves at most the grant of this span
+
+    bool operator==(const allowance&) const = default;
+};
+
+/// @brief Token bucket for the cost of load measurement, in bytes and processor time.
+///
+/// The bucket starts empty and refills continuously. In any span of length L at most the grant of L plus one burst is
+/// spent. A reading of the clock that jumps ahead, as after a freeze of the process, grants at most one burst.
+class budget
+{
+  public:
+    class builder;
+
+    /// @brief Spends from both parts of the bucket, or from neither.
+    /// @param[in] bytes          bytes on the network
+    /// @param[in] processor_time time on a processor
+    /// @param[in] now            reading of the clock; an earlier reading than before grants nothing
+    /// @return whether the expense is granted; never for an expense above one burst
+    [[nodiscard]] bool try_spend(std::uint64_t bytes, std::chrono::nanoseconds processor_time,
+                                 core::time_point now) noexcept;
+
+    /// @return the sum of all granted expenses since construction
+    [[nodiscard]] const expense& spent() const noexcept
+    {
+        return this->total;
+    }
+
+    /// @return the number of refused expenses since construction
+    [[nodiscard]] std::uint64_t refused() const noexcept
+    {
+        return this->refusals;
+    }
+
+    /// @return the allowance in force
+    [[nodiscard]] const allowance& limit() const noexcept
+    {
+        return this->granted;
+    }
+
+    /// @brief Puts a new allowance in force; what was saved under the old one is lost.
+    /// @param[in] value the new allowance
+    /// @param[in] now   reading of the clock
+    /// @throw std::invalid_argument when the window is not positive, or the burst or the processor time is negative
+    void set_limit(const allowance& value, core::time_point now);
+
+  private:
+    budget(const allowance& value, core::time_point now);
+
+    allowance granted;
+    expense total;
+    std::uint64_t refusals{0};
+    // Each part of the bucket is kept as the instant up to which its grant is spent. Whole nanoseconds that are rounded
+    // up cannot add up to an overspending, as the rounding of fractional tokens could.
+    core::time_point bytes_spent_until;
+    core::time_point processor_spent_until;
+};
+
+/// @brief Builds a budget.
+class budget::builder
+{
+  public:
+    /// @param[in] value bytes granted per window
+    builder& bytes(std::uint64_t value) noexcept
+    {
+        this->settings.per_window.bytes = value;
+        return *this;
+    }
+
+    /// @param[in] value processor time granted per window
+    builder& processor_time(std::chrono::nanoseconds value) noexcept
+    {
+        this->settings.per_window.processor_time = value;
+        return *this;
+    }
+
+    /// @param[in] length length of the window
+    builder& window(std::chrono::nanoseconds length) noexcept
+    {
+        this->settings.window = length;
+        return *this;
+    }
+
+    /// @param[in] span span whose grant an idle bucket saves at most
+    builder& burst(std::chrono::nanoseconds span) noexcept
+    {
+        this->settings.burst = span;
+        return *this;
+    }
+
+    /// @param[in] now reading of the clock; the bucket is empty at this instant
+    /// @return the budget
+    /// @throw std::invalid_argument when the window is not positive, or the burst or the processor time is negative
+    [[nodiscard]] budget build(core::time_point now) const
+    {
+        return budget{this->settings, now};
+    }
+
+  private:
+    allowance settings{{0, std::chrono::nanoseconds{0}}, std::chrono::seconds{1}, std::chrono::milliseconds{100}};
+};
+
+} // namespace poplarport::measuring
