admission: add the gate with slots, fair queue and typed refusals

Cause: the receiving node makes the final decision on each request and must refuse at once what it cannot run in time. Ruled out: one queue by deadline over all tenants (a greedy tenant with short deadlines starves the others); a fixed part of the queue per tenant (wastes the queue when one tenant is active); an average of finished requests (does not see a slowdown until slow requests end). Change: gate with builder: offer, release, cancel, expire, set_limits, drain, load, expected_wait, next_deadline. Start-time fair queueing over tenants and their classes, by deadline within a class. A full queue gives way to a tenant under its share. A quarter of the slots runs requests whatever the estimate says, because an outdated estimate is corrected only by running requests.

--- /dev/null
+++ b/libs/admission/include/poplarport/admission/detail/fair_queue.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstddef>       // size_t
+#include <map>           // map, multimap
+#include <optional>      // optional
+#include <string>        // string
+#include <string_view>   // string_view
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+#include "poplarport/admission/ticket.hpp"
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/time.hpp"
+
+namespace poplarport::admission::detail
+{
+
+/// @brief Weight by name; names that are not listed have weight 1.
+using weights = std::map<std::string, double, std::less<>>;
+
+/// @brief Queue with weighted fair shares per tenant and, within a tenant, per class; by deadline within a class.
+///
+/// Start-time fair queueing: each start advances the virtual time of its tenant by 1 / weight, and the waiting tenant
+/// with the lowest virtual time is served next. Names come from authenticated tenants and the manifest, so their number
+/// is bounded.
+class fair_queue
+{
+  public:
+    fair_queue(weights by_tenant, weights by_class)
+        : tenant_weights(std::move(by_tenant)), class_weights(std::move(by_class))
+    {
+    }
+
+    /// @brief Puts new weights in force for queued and later tickets.
+    void set_weights(weights by_tenant, weights by_class);
+
+    /// @brief Adds a ticket; its id must not be in the queue.
+    void push(ticket value);
+
+    /// @brief Removes the ticket that is served next.
+    [[nodiscard]] std::optional<ticket> pop();
+
+    /// @brief Removes a ticket.
+    /// @return whether it was in the queue
+    bool erase(const core::request_id& id);
+
+    /// @return whether the ticket is in the queue
+    [[nodiscard]] bool contains(const core::request_id& id) const
+    {
+        return this->positions.contains(id);
+    }
+
+    /// @brief Removes all tickets whose deadline is before an instant.
+    [[nodiscard]] std::vector<ticket> take_due_before(core::time_point instant);
+
+    /// @brief Removes the least urgent ticket of the tenant that holds most in relation to its weight.
+    /// @param[in] except the tenant that needs the place; nothing is removed when it holds most itself
+    [[nodiscard]] std::optional<ticket> displace_for(std::string_view except);
+
+    /// @brief Charges a start to a tenant and class, after `pop` or without it.
+    void charge(std::string_view tenant, std::string_view traffic_class);
+
+    /// @brief Counts a running ticket of a tenant as ended.
+    void on_ended(std::string_view tenant);
+
+    /// @return an estimate of the number of queued tickets that start before the given one
+    [[nodiscard]] double ahead_of(const ticket& value) const;
+
+    /// @return the part of the queue to which a tenant is entitled among the active tenants; from 0 to 1
+    [[nodiscard]] double share(std::string_view tenant) const;
+
+    /// @return the number of queued tickets of a tenant
+    [[nodiscard]] std::size_t size(std::string_view tenant) const;
+
+    /// @return the number of queued tickets
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return this->positions.size();
+    }
+
+    /// @return the earliest deadline in the queue
+    [[nodiscard]] std::optional<core::time_point> earliest_deadline() const;
+
+  private:
+    using tickets_by_deadline = std::multimap<core::time_point, ticket>;
+
+    struct class_queue
+    {
+        double weight{1.0};
+        double virtual_time{0.0};
+        tickets_by_deadline waiting;
+    };
+
+    struct tenant_queue
+    {
+        double weight{1.0};
+        double virtual_time{0.0};
+        double class_clock{0.0}; // virtual start of the tenant's last started ticket
+        std::size_t waiting{0};
+        std::size_t running{0};
+        std::map<std::string, class_queue, std::less<>> classes;
+    };
+
+    struct position
+    {
+        tenant_queue* tenant;
+        class_queue* traffic_class;
+        tickets_by_deadline::iterator ticket;
+    };
+
+    [[nodiscard]] tenant_queue& tenant_of(std::string_view name);
+    [[nodiscard]] class_queue& class_of(tenant_queue& tenant, std::string_view name) const;
+    [[nodiscard]] ticket take(const position& place);
+
+    weights tenant_weights;
+    weights class_weights;
+    std::map<std::string, tenant_queue, std::less<>> tenants;
+    std::unordered_map<core::request_id, position> positions;
+    double clock{0.0}; // virtual start of the last started ticket
+};
+
+} // namespace poplarport::admission::detail
--- /dev/null
+++ b/libs/admission/include/poplarport/admission/gate.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <chrono>        // milliseconds, seconds
+#include <cstddef>       // size_t
+#include <cstdint>       // uint32_t
+#include <optional>      // optional
+#include <string>        // string
+#include <string_view>   // string_view
+#include <unordered_map> // unordered_map
+#include <utility>       // move
+
+#include "poplarport/admission/detail/fair_queue.hpp"
+#include "poplarport/admission/errors.hpp"
+#include "poplarport/admission/ticket.hpp"
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/load_report.hpp"
+#include "poplarport/core/time.hpp"
+#include "poplarport/measuring/duration_estimator.hpp"
+
+namespace poplarport::admission
+{
+
+/// @brief Limits of a gate, from the service's configuration.
+struct limits
+{
+    std::uint32_t slots{1};         ///< requests that the upstream runs at once
+    std::size_t queue_capacity{0};  ///< requests that wait at most
+    detail::weights tenant_weights; ///< weight of a tenant by its name; 1 when not listed
+    detail::weights class_weights;  ///< weight of a class by its name; 1 when not listed
+};
+
+/// @brief Decides which requests run on the upstream of this node, which wait and which are refused.
+///
+/// The limit of running requests is the upstream's slots, ramped up after a cold start. The bounded queue serves
+/// tenants and classes by weight, and by deadline within a class. Refusals are immediate and have a typed reason.
+class gate
+{
+  public:
+    class builder;
+
+    /// @brief Offers a request.
+    /// @param[in] offered the request
+    /// @param[in] now     reading of the clock
+    /// @return whether it runs now, waits or is refused
+    [[nodiscard]] decision offer(ticket offered, core::time_point now);
+
+    /// @brief Ends a running request and gives its slot to the next one.
+    /// @param[in] id           the request; an id that does not run here changes nothing
+    /// @param[in] service_time time that the upstream took
+    /// @param[in] now          reading of the clock
+    /// @return the queued requests that start and those that are refused
+    [[nodiscard]] changes release(const core::request_id& id, core::duration service_time, core::time_point now);
+
+    /// @brief Withdraws a queued or running request; its upstream time is not taken into the estimate.
+    /// @param[in] id  the request; an unknown id changes nothing
+    /// @param[in] now reading of the clock
+    /// @return the queued requests that start and those that are refused; the withdrawn request is in neither
+    [[nodiscard]] changes cancel(const core::request_id& id, core::time_point now);
+
+    /// @brief Refuses the queued requests whose deadline passed or can no longer be met and fills free slots.
+    ///
+    /// To be called at `next_deadline`, and regularly (about every 10 ms) while requests wait.
+    /// @param[in] now reading of the clock
+    /// @return the queued requests that start and those that are refused
+    [[nodiscard]] changes expire(core::time_point now);
+
+    /// @brief Puts new limits in force; running requests continue.
+    /// @param[in] value the new limits
+    /// @param[in] now   reading of the clock
+    /// @return the queued requests that start and those that are refused
+    /// @throw std::invalid_argument when there is no slot or a weight is not positive
+    [[nodiscard]] changes set_limits(limits value, core::time_point now);
+
+    /// @brief Refuses all queued and later requests; running requests continue.
+    /// @return the refused requests
+    [[nodiscard]] changes drain();
+
+    /// @return the load as it travels on answers; `slots` is the limit in force
+    [[nodiscard]] core::load_report load(core::time_point now) const;
+
+    /// @return the estimated wait of a ticket until it starts, zero when a slot is free
+    [[nodiscard]] core::duration expected_wait(const ticket& offered, core::time_point now) const;
+
+    /// @return the earliest deadline in the queue
+    [[nodiscard]] std::optional<core::time_point> next_deadline() const
+    {
+        return this->queue.earliest_deadline();
+    }
+
+    /// @return the requests that may run at once now
+    [[nodiscard]] std::uint32_t concurrency_limit(core::time_point now) const noexcept;
+
+  private:
+    struct running_request
+    {
+        std::string tenant;
+        core::time_point started_at;
+    };
+
+    gate(limits value, core::duration initial_service_time, core::duration ramp, core::time_point now);
+
+    [[nodiscard]] bool can_finish(core::time_point deadline, core::time_point start, core::time_point now) const;
+    [[nodiscard]] bool is_exploring(core::time_point now) const noexcept;
+    void start(const ticket& value, core::time_point now);
+    void end(const core::request_id& id);
+    [[nodiscard]] decision enqueue(ticket offered);
+    void refuse_due(changes& result, core::time_point now);
+    void fill_slots(changes& result, core::time_point now);
+
+    limits configured;
+    core::duration ramp;
+    core::time_point built_at;
+    detail::fair_queue queue;
+    std::unordered_map<core::request_id, running_request> running;
+    measuring::duration_estimator service_time;
+    bool is_draining{false};
+};
+
+/// @brief Builds a gate.
+class gate::builder
+{
+  public:
+    /// @param[in] count requests that the upstream runs at once
+    builder& slots(std::uint32_t count) noexcept
+    {
+        this->settings.slots = count;
+        return *this;
+    }
+
+    /// @param[in] count requests that wait at most
+    builder& queue_capacity(std::size_t count) noexcept
+    {
+        this->settings.queue_capacity = count;
+        return *this;
+    }
+
+    /// @param[in] tenant name of a tenant
+    /// @param[in] weight its weight, above 0
+    builder& tenant_weight(std::string_view tenant, double weight)
+    {
+        this->settings.tenant_weights.insert_or_assign(std::string{tenant}, weight);
+        return *this;
+    }
+
+    /// @param[in] traffic_class name of a class
+    /// @param[in] weight        its weight within a tenant, above 0
+    builder& class_weight(std::string_view traffic_class, double weight)
+    {
+        this->settings.class_weights.insert_or_assign(std::string{traffic_class}, weight);
+        return *this;
+    }
+
+    /// @param[in] value service time assumed before the first request ends
+    builder& initial_service_time(core::duration value) noexcept
+    {
+        this->first_estimate = value;
+        return *this;
+    }
+
+    /// @param[in] value time from the start until all slots are in use; zero for an upstream that is already warm
+    builder& cold_start_ramp(core::duration value) noexcept
+    {
+        this->ramp = value;
+        return *this;
+    }
+
+    /// @param[in] now reading of the clock, at which the ramp begins
+    /// @return the gate
+    /// @throw std::invalid_argument when there is no slot or a weight is not positive
+    [[nodiscard]] gate build(core::time_point now) const
+    {
+        return gate{this->settings, this->first_estimate, this->ramp, now};
+    }
+
+  private:
+    limits settings{1, 32, {}, {}};
+    core::duration first_estimate{std::chrono::milliseconds{10}};
+    core::duration ramp{0};
+};
+
+} // namespace poplarport::admission
