--- a/libs/http/include/poplarport/http/client_pool.hpp
+++ b/libs/http/include/poplarport/http/client_pool.hpp
@@ -37,6 +37,9 @@
     /// @brief Gives a connection back; one that cannot be used again is dropped.
     void release(const std::shared_ptr<client_connection>& connection);
 
+    /// @brief Changes the limit; connections in use above it are kept until they are released.
+    void set_connection_limit(std::size_t connections) noexcept;
+
     /// @return connections in use and idle
     [[nodiscard]] std::size_t size() const noexcept;
 
--- a/libs/http/src/client_pool.cpp
+++ b/libs/http/src/client_pool.cpp
@@ -46,6 +46,11 @@
     connection->abort();
 }
 
+void client_pool::set_connection_limit(std::size_t connections) noexcept
+{
+    this->chosen.connections = connections;
+}
+
 std::size_t client_pool::size() const noexcept
 {
     return this->in_use + this->idle.size();
--- /dev/null
+++ b/libs/observability/include/poplarport/observability/log_record.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>     // int64_t
+#include <memory>      // unique_ptr
+#include <string>      // string
+#include <string_view> // string_view
+
+namespace poplarport::observability
+{
+
+/// @brief Importance of a log record.
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+/// @brief Sets up the log of the process: one JSON record a line on standard error.
+/// @param[in] least records below this level are dropped
+void configure_log(log_level least);
+
+/// @return the level of a name (debug, info, warning, error); info for any other text
+[[nodiscard]] log_level log_level_from_string(std::string_view name) noexcept;
+
+/// @brief One structured log record; written where a state changes, never for each request.
+///
+/// Fields must not hold secrets: no credential, no header field of a caller.
+class log_record
+{
+  public:
+    /// @param[in] event name of the event, in snake case
+    explicit log_record(std::string_view event);
+    ~log_record();
+    log_record(const log_record&) = delete;
+    log_record& operator=(const log_record&) = delete;
+
+    /// @brief Adds a field.
+    log_record& with(std::string_view name, std::string_view value);
+
+    /// @brief Adds a numeric field.
+    log_record& with(std::string_view name, std::int64_t value);
+
+    /// @brief Writes the record.
+    void write(log_level level) const;
+
+    /// @return the record as JSON, without time and level
+    [[nodiscard]] std::string text() const;
+
+  private:
+    struct state;
+    std::unique_ptr<state> data;
+};
+
+} // namespace poplarport::observability
