Add the configuration follower, the conditional update and the lease

Cause: a configuration that was accepted must never revert, and an operator whose answer was lost must learn whether the change took effect. Ruled out: a plain list of change ids as history. After a lost answer it does not show whether another change took the same base; with the base version beside each id, an opponent on the base is proof that the change did not and cannot take effect.

--- /dev/null
+++ b/libs/configuration/include/poplarport/configuration/apply_operation.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <chrono>       // milliseconds, seconds
+#include <cstddef>      // size_t
+#include <functional>   // function
+#include <optional>     // optional
+#include <random>       // mt19937_64
+#include <string>       // string
+#include <system_error> // error_code
+#include <variant>      // variant
+#include <vector>       // vector
+
+#include "poplarport/configuration/errors.hpp"
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/time.hpp"
+
+namespace poplarport::configuration
+{
+
+/// @brief Unique name of an operator's change; the same when the change is applied again after a lost answer.
+using change_id = std::string;
+
+/// @brief One of the recent changes that a document lists.
+struct change_record
+{
+    change_id id;
+    core::version base{0}; ///< version on which the change was based; zero if it created the object
+
+    bool operator==(const change_record&) const = default;
+};
+
+/// @brief A document on the platform with its recent changes.
+struct stored_document
+{
+    std::string content;
+    std::vector<change_record> recent_changes; ///< oldest first, bounded by `apply_settings::history`
+
+    bool operator==(const stored_document&) const = default;
+};
+
+/// @brief Result of reading an object.
+struct read_result
+{
+    core::version version{0};                ///< zero if the object does not exist
+    std::optional<stored_document> document; ///< nothing if the object does not exist
+};
+
+/// @brief Read the object.
+struct read_object
+{
+};
+
+/// @brief Write the object if its version is still `expected_version`.
+struct write_object
+{
+    stored_document document;
+    core::version expected_version{0}; ///< zero: the object must not exist
+};
+
+/// @brief Call `tick` at this time.
+struct wait_until
+{
+    core::time_point time;
+};
+
+/// @brief The operation is over.
+struct apply_finished
+{
+    std::error_code code;                  ///< empty if the change is in force
+    core::version version{0};              ///< newest version known
+    std::optional<change_record> opponent; ///< for `conflict`: the change that was made on the same base, if known
+};
+
+/// @brief What the owner of an operation must do next.
+using apply_action = std::variant<read_object, write_object, wait_until, apply_finished>;
+
+/// @brief Settings of an operation.
+struct apply_settings
+{
+    /// Changes that a document lists. At 35,000 changes per day for 2,200 services this covers about four days.
+    std::size_t history{64};
+    core::duration back_off{std::chrono::milliseconds{200}}; ///< after a failed read; doubles with each further one
+    core::duration back_off_limit{std::chrono::seconds{5}};
+};
+
+/// @brief One conditional update of a platform object by an operator.
+///
+/// The write is conditional on the version on which the change is based, and carries the change id in the document's
+/// list of recent changes. After a lost answer the object is read until it shows whether the change took effect: the
+/// change is in the list, or another change has the same base, or the version is still the base. In the last case the
+/// same conditional write is sent again; both copies together take effect at most once, because the version moves.
+class apply_operation
+{
+  public:
+    /// Makes the new content from the present one, or returns why the change is not valid.
+    using edit_function = std::function<std::variant<std::string, std::error_code>(const read_result&)>;
+
+    class builder;
+
+    /// @return the first action
+    [[nodiscard]] apply_action start(core::time_point now);
+
+    /// @brief Processes the result of a read.
+    [[nodiscard]] apply_action on_read(const read_result& result);
+
+    /// @brief Processes a read that failed or whose answer was lost.
+    [[nodiscard]] apply_action on_read_failed(core::time_point now, std::mt19937_64& random);
+
+    /// @brief Processes a write that the platform confirmed.
+    /// @param[in] version the new version
+    [[nodiscard]] apply_action on_written(core::version version);
+
+    /// @brief Processes a write that the platform refused by version. An earlier copy of the write may have taken
+    ///        effect, so the object is read before a conflict is reported.
+    [[nodiscard]] apply_action on_precondition_failed();
+
+    /// @brief Processes a write whose answer was lost, or that failed in a way that does not tell whether it took
+    ///        effect (503, 429, a closed connection).
+    [[nodiscard]] apply_action on_write_lost(core::time_point now, std::mt19937_64& random);
+
+    /// @return the next read, or the end when the deadline has passed
+    [[nodiscard]] apply_action tick(core::time_point now);
+
+    /// @return the result, or nothing while the operation is in progress
+    [[nodiscard]] const std::optional<apply_finished>& result() const noexcept
+    {
+        return this->ending;
+    }
+
+  private:
+    apply_operation(change_id id, std::optional<core::version> base, edit_function edit, core::time_point deadline,
+                    const apply_settings& settings);
+
+    [[nodiscard]] apply_action first_read(const read_result& result);
+    [[nodiscard]] apply_action read_back(const read_result& result);
+    [[nodiscard]] apply_action finish(std::error_code code, core::version version,
+                                      std::optional<change_record> opponent = std::nullopt);
+    [[nodiscard]] apply_action wait(core::time_point now, std::mt19937_64& random);
+    [[nodiscard]] std::error_code code_without_answer() const noexcept;
+
+    change_id change;
+    std::optional<core::version> base;
+    edit_function edit;
+    core::time_point deadline;
+    apply_settings limits;
+    std::optional<write_object> write; ///< set once it was sent
+    std::size_t failures{0};
+    std::optional<apply_finished> ending;
+};
+
+/// @brief Builds an operation.
+class apply_operation::builder
+{
+  public:
+    /// @param[in] id change id
+    builder& change(change_id id);
+
+    /// @param[in] version version that the operator saw, zero if the object must not exist; without this call the
+    ///                    change is based on the version that is read first
+    builder& based_on(core::version version);
+
+    /// @param[in] function makes and checks the new content
+    builder& edit(edit_function function);
+
+    /// @param[in] time when the operation gives up
+    builder& deadline(core::time_point time);
+
+    /// @param[in] value settings
+    builder& settings(const apply_settings& value);
+
+    [[nodiscard]] apply_operation build() const;
+
+  private:
+    change_id id;
+    std::optional<core::version> base;
+    edit_function make_content;
+    core::time_point end;
+    apply_settings limits;
+};
+
+} // namespace poplarport::configuration
--- /dev/null
+++ b/libs/configuration/include/poplarport/configuration/claim.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <chrono>   // milliseconds, sys_time
+#include <optional> // optional
+
+#include "poplarport/core/ids.hpp"
+
+namespace poplarport::configuration
+{
+
+/// @brief Wall-clock time of leases; clocks of several machines may differ, so nothing safe depends on it.
+using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
+
+/// @brief A lease as it is stored within the object that it covers.
+struct claim_record
+{
+    core::node_id holder; ///< empty if nobody holds it
+    wall_time expiry{};
+
+    bool operator==(const claim_record&) const = default;
+};
+
+/// @brief A write of the covered object that is conditional on a version.
+struct claim_write
+{
+    claim_record record;               ///< to store with the object
+    core::version expected_version{0}; ///< zero: the object must not exist
+
+    bool operator==(const claim_write&) const = default;
+};
+
+/// @brief A lease on a platform object.
+///
+/// The lease only saves work. What protects the object is the version: each write of the holder is conditional on the
+/// version that it saw last, so a holder that was paused past the expiry, while another one wrote, is refused.
+class claim
+{
+  public:
+    /// @param[in] self     id of this node
+    /// @param[in] duration how long a lease lasts
+    claim(core::node_id self, std::chrono::milliseconds duration);
+
+    /// @brief Notes the record and the version that were read.
+    /// @param[in] record  the record, or nothing if the object does not exist
+    /// @param[in] version the version read, zero if the object does not exist
+    void on_read(const std::optional<claim_record>& record, core::version version);
+
+    /// @brief Takes or renews the lease, also to write the covered object while it is held.
+    /// @param[in] now wall-clock time
+    /// @return the conditional write, or nothing while another holder's lease runs or the object must be read first
+    [[nodiscard]] std::optional<claim_write> acquire(wall_time now);
+
+    /// @brief Processes a write that the platform confirmed.
+    /// @param[in] version the new version
+    void on_written(core::version version);
+
+    /// @brief Processes a write that was refused by version or whose answer was lost; the object must be read again.
+    void on_lost() noexcept;
+
+    /// @return whether this node holds the lease as far as it knows; no permission to write without a condition
+    [[nodiscard]] bool held(wall_time now) const noexcept;
+
+  private:
+    core::node_id own_id;
+    std::chrono::milliseconds length;
+    std::optional<core::version> seen; ///< version of the last read or write, nothing if unknown
+    claim_record current;
+    std::optional<claim_record> proposed; ///< record of a write in progress
+};
+
+} // namespace poplarport::configuration
--- /dev/null
+++ b/libs/configuration/include/poplarport/configuration/follower.hpp
@@ -0,0 +1,223 @@
+#pragma once
+
+#include <cstddef>      // size_t
+#include <cstdint>      // uint64_t
+#include <functional>   // function
+#include <map>          // map
+#include <optional>     // optional
+#include <random>       // mt19937_64
+#include <string>       // string
+#include <string_view>  // string_view
+#include <system_error> // error_code
+#include <variant>      // variant
+#include <vector>       // vector
+
+#include "poplarport/configuration/document.hpp"
+#include "poplarport/configuration/errors.hpp"
+#include "poplarport/configuration/follower_settings.hpp"
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/time.hpp"
+
+namespace poplarport::configuration
+{
+
+/// @brief Watch the object of a service on the platform for a version above `after`.
+struct watch_platform
+{
+    std::string service;
+    core::version after{0};
+};
+
+/// @brief Give up the watch of a service.
+struct stop_watch
+{
+    std::string service;
+};
+
+/// @brief Read the object of a service from the platform.
+struct read_platform
+{
+    std::string service;
+};
+
+/// @brief Pull the document of a service from a peer.
+struct pull_peer
+{
+    std::string service;
+    core::node_id peer;
+    core::version above{0}; ///< version that is held; the peer need not send an equal or lower one
+};
+
+/// @brief What the owner of a follower must do.
+using follower_action = std::variant<watch_platform, stop_watch, read_platform, pull_peer>;
+
+/// @brief What came of the offers of one source.
+struct source_counters
+{
+    std::uint64_t accepted{0};
+    std::uint64_t older{0};         ///< code 700
+    std::uint64_t equal{0};         ///< code 701
+    std::uint64_t conflicts{0};     ///< code 702
+    std::uint64_t failed_checks{0}; ///< code 703
+};
+
+/// @brief Holds the newest accepted document of each followed service and decides where to look for newer ones.
+///
+/// A few members of each service watch the platform; the others pull from a peer that is known to hold a higher
+/// version. A node that starts asks several peers before the platform. While the platform or the peers fail, the held
+/// documents stay in force.
+class follower
+{
+  public:
+    /// Checks a document before it is accepted; returns an empty code for a valid one.
+    using check_function = std::function<std::error_code(const document&)>;
+
+    class builder;
+
+    /// @brief Starts to follow a service.
+    void follow(const std::string& service, core::time_point now, std::mt19937_64& random);
+
+    /// @brief Drops a service with its document.
+    /// @return the end of the watch if there was one
+    [[nodiscard]] std::vector<follower_action> unfollow(const std::string& service);
+
+    /// @brief Offers a document. It is accepted if its version is above the held one and its check passes.
+    /// @param[in] offered the document
+    /// @param[in] source  where it came from
+    /// @param[in] now     the present time
+    /// @return an empty code if it was accepted; `older_version`, `same_version`, `same_version_differs`,
+    ///         `check_failed` or `not_followed` otherwise
+    std::error_code offer(const document& offered, const document_source& source, core::time_point now);
+
+    /// @brief Replaces what is known of the live members of a service, this node included if it is one.
+    void on_members(const std::string& service, std::vector<peer_version> members, core::time_point now,
+                    std::mt19937_64& random);
+
+    /// @brief Notes that a peer holds a version, as announced by gossip or on an answer.
+    void on_version_seen(const std::string& service, const core::node_id& peer, core::version version,
+                         core::time_point now, std::mt19937_64& random);
+
+    /// @brief Processes the end of a read, a watch or a pull, after its document, if any, was offered.
+    /// @param[in]     service name of the service
+    /// @param[in]     source  whom the request went to
+    /// @param[in]     success whether there was an answer; a watch that ended without news and a peer or a platform
+    ///                        that holds no document are answers too
+    /// @param[in]     now     the present time
+    /// @param[in,out] random  source of jitter
+    void on_answer(const std::string& service, const document_source& source, bool success, core::time_point now,
+                   std::mt19937_64& random);
+
+    /// @return the requests to send now
+    [[nodiscard]] std::vector<follower_action> tick(core::time_point now, std::mt19937_64& random);
+
+    /// @return when `tick` must be called next, or nothing if there is nothing to wait for; changes with every call
+    ///         of another function
+    [[nodiscard]] std::optional<core::time_point> next_wakeup() const;
+
+    /// @return the held document of a service, or nullptr; valid until the next call of a non-const function
+    [[nodiscard]] const document* find(const std::string& service) const;
+
+    /// @return the held version of a service, zero for none
+    [[nodiscard]] core::version version_of(const std::string& service) const;
+
+    /// @return the counters by source; sources beyond the limit are counted under `other_sources`
+    [[nodiscard]] const std::map<document_source, source_counters>& counters() const noexcept
+    {
+        return this->by_source;
+    }
+
+    /// Source under which the sources beyond the limit are counted.
+    static constexpr std::string_view other_sources = "*";
+
+  private:
+    enum class phase
+    {
+        asking_peers,
+        asking_platform,
+        following
+    };
+
+    struct request_state
+    {
+        std::optional<core::time_point> timeout; ///< set while a request is in progress
+        core::time_point next;                   ///< earliest start of the next request
+        std::size_t failures{0};
+    };
+
+    struct service_state
+    {
+        std::optional<document> held;
+        core::version refused{0}; ///< newest version from the platform whose check failed
+        std::vector<peer_version> members;
+        phase stage{phase::asking_peers};
+        core::time_point start_end;                      ///< when a start without peers asks the platform
+        std::map<core::node_id, core::time_point> asked; ///< peers asked at start, until their timeouts
+        request_state platform;                          ///< read or watch
+        bool watching{false};
+        request_state pull;
+        core::node_id pulled_peer;
+        std::map<core::node_id, core::time_point> avoided_until; ///< peers that served a refused document
+    };
+
+    follower(core::node_id self, check_function check, const follower_settings& settings);
+
+    [[nodiscard]] source_counters& counters_of(const document_source& source);
+    void expire_requests(service_state& state, core::time_point now, std::mt19937_64& random);
+    void ask_peers(const std::string& service, service_state& state, core::time_point now, std::mt19937_64& random,
+                   std::vector<follower_action>& actions);
+    void ask_platform(const std::string& service, service_state& state, core::time_point now,
+                      std::vector<follower_action>& actions);
+    void watch_when_on_duty(const std::string& service, service_state& state, core::time_point now,
+                            std::vector<follower_action>& actions);
+    void pull_when_behind(const std::string& service, service_state& state, core::time_point now,
+                          std::mt19937_64& random, std::vector<follower_action>& actions);
+    [[nodiscard]] std::vector<core::node_id> ahead(const service_state& state, core::time_point now) const;
+    void finish_request(request_state& request, bool success, core::time_point now, std::mt19937_64& random) const;
+    void finish_start(service_state& state, core::time_point now, std::mt19937_64& random) const;
+    void delay_pull(service_state& state, bool was_behind, core::time_point now, std::mt19937_64& random) const;
+    [[nodiscard]] bool is_behind(const service_state& state) const;
+    [[nodiscard]] std::optional<core::time_point> wakeup_of(const std::string& service,
+                                                            const service_state& state) const;
+    [[nodiscard]] std::optional<core::time_point> pull_wakeup(const service_state& state) const;
+
+    core::node_id own_id;
+    check_function check;
+    follower_settings limits;
+    std::map<std::string, service_state> services;
+    std::map<document_source, source_counters> by_source;
+};
+
+/// @brief Decides whether a node watches the platform for a service.
+/// @param[in] service  name of the service
+/// @param[in] self     id of the node
+/// @param[in] members  live members of the service
+/// @param[in] watchers number of watchers per service
+/// @return whether the node is among the first-ranked members by rendezvous hash
+[[nodiscard]] bool watch_duty(std::string_view service, const core::node_id& self,
+                              const std::vector<peer_version>& members, std::size_t watchers);
+
+/// @brief Builds a follower.
+class follower::builder
+{
+  public:
+    /// @param[in] id id of this node
+    builder& self(core::node_id id);
+
+    /// @param[in] function check of a document; the default accepts every document
+    builder& check(check_function function);
+
+    /// @param[in] value settings
+    builder& settings(const follower_settings& value);
+
+    [[nodiscard]] follower build() const;
+
+  private:
+    core::node_id own_id;
+    check_function accept{[](const document&)
+                          {
+                              return std::error_code{};
+                          }};
+    follower_settings limits;
+};
+
+} // namespace poplarport::configuration
