--- a/libs/measuring/include/poplarport/measuring/duration_estimator.hpp
+++ b/libs/measuring/include/poplarport/measuring/duration_estimator.hpp
@@ -50,6 +50,16 @@
         this->running = this->running > 0 ? this->running - 1 : 0;
     }
 
+    /// @brief Forgets what was measured; operations in progress stay counted.
+    /// @param[in] value estimate from which to start again
+    /// @param[in] now   reading of the clock
+    void reset(core::duration value, core::time_point now) noexcept
+    {
+        this->busy = static_cast<double>(value.count());
+        this->finished = 1.0;
+        this->updated = now;
+    }
+
     /// @return the estimated duration of one operation
     [[nodiscard]] core::duration estimate(core::time_point now) const noexcept
     {
--- /dev/null
+++ b/libs/routing/include/poplarport/routing/errors.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <system_error> // error_code, is_error_code_enum
+
+#include "poplarport/result/table_category.hpp"
+
+namespace poplarport::routing
+{
+
+/// @brief Reasons for which the router has no endpoint for a request.
+enum class errors
+{
+    no_endpoint_known = 300,
+    all_endpoints_tried = 301,
+    all_endpoints_draining = 302
+};
+
+/// @return the category of the library's result codes, with their table
+[[nodiscard]] const result::table_category& category() noexcept;
+
+/// @return the result code of a reason
+[[nodiscard]] std::error_code make_error_code(errors reason) noexcept;
+
+} // namespace poplarport::routing
+
+template <>
+struct std::is_error_code_enum<poplarport::routing::errors> : std::true_type
+{
+};
--- /dev/null
+++ b/libs/routing/src/router.cpp
@@ -0,0 +1,408 @@
+#include "poplarport/routing/router.hpp"
+
+#include "durations.hpp"
+
+#include <algorithm> // clamp, max, min, ranges::any_of, ranges::find, ranges::lower_bound, ranges::sort
+#include <cmath>     // exp2, pow
+#include <stdexcept> // invalid_argument
+
+namespace poplarport::routing
+{
+
+namespace
+{
+
+// Part of its slots that a cold endpoint is counted with at first.
+constexpr double cold_fraction = 0.1;
+
+// Answered calls that the latency estimate covers.
+constexpr double latency_memory = 8.0;
+
+// Age of a report from which a message may ask for a new one, for the same two preferences.
+constexpr std::chrono::milliseconds lazy_probe_age{4000};
+constexpr double probe_age_ratio = 1.0 / 64.0;
+
+constexpr std::uint32_t greatest_failure_doublings = 6;
+
+bool was_tried(const pick_request& request, const endpoint& value)
+{
+    return std::ranges::find(request.tried, value.id) != request.tried.end();
+}
+
+void check(const router_settings& value)
+{
+    constexpr core::duration zero = core::duration::zero();
+    const bool has_negative_time = value.zone_cost < zero || value.hint_lifetime < zero ||
+                                   value.straggler_mark < zero || value.straggler_trial < zero ||
+                                   value.failure_back_off < zero || value.cold_start_ramp < zero;
+    if (has_negative_time)
+    {
+        throw std::invalid_argument("the times of a router must not be negative");
+    }
+    if (value.report_half_life <= zero || value.assumed_service_time <= zero || value.assumed_slots == 0)
+    {
+        throw std::invalid_argument("the half-life, assumed slots and assumed service time must be positive");
+    }
+    const bool are_weights_valid = value.tail_latency_weight >= 0.0 && value.measuring_cost_weight >= 0.0 &&
+                                   value.tail_latency_weight + value.measuring_cost_weight > 0.0;
+    if (!are_weights_valid)
+    {
+        throw std::invalid_argument("the weights of a router must not be negative, nor both zero");
+    }
+}
+
+} // namespace
+
+router::router(router_settings value) : settings(std::move(value)), preference(0.0)
+{
+    check(this->settings);
+    this->preference = this->settings.tail_latency_weight /
+                       (this->settings.tail_latency_weight + this->settings.measuring_cost_weight);
+}
+
+void router::set_endpoints(std::vector<endpoint> endpoints, core::time_point now)
+{
+    std::ranges::sort(endpoints, {}, &endpoint::id);
+    std::vector<state> next;
+    next.reserve(endpoints.size());
+    for (endpoint& item : endpoints)
+    {
+        const auto target = std::make_shared<const endpoint>(std::move(item));
+        state* known = this->find(target->id);
+        if (known == nullptr || known->target->incarnation != target->incarnation)
+        {
+            next.push_back(this->make_state(target, now));
+            continue;
+        }
+        known->is_draining = known->is_draining || target->draining;
+        known->target = target;
+        next.push_back(*known);
+    }
+    this->states = std::move(next);
+    this->has_list = true;
+    this->candidates.reserve(this->states.size());
+    this->scratch.reserve(this->states.size());
+}
+
+std::optional<choice> router::pick(const pick_request& request, core::time_point now, std::mt19937_64& random)
+{
+    const bool is_last_resort = !this->collect(request, now, false, false);
+    if (is_last_resort && !this->collect(request, now, true, false) && !this->collect(request, now, true, true))
+    {
+        return std::nullopt;
+    }
+    // A redirected call has already lost time and is not used to try a straggler.
+    if (state* trial = request.tried.empty() ? this->due_trial(now) : nullptr; trial != nullptr)
+    {
+        trial->next_trial = now + this->settings.straggler_trial;
+        trial->has_trial = true;
+        return choice{trial->target, pick_reason::straggler_probe, this->wait_of(*trial, now)};
+    }
+    state& best = this->best_candidate(now, random);
+    const bool by_hint = best.has_hint && now < best.hint_until;
+    best.has_hint = false;
+    const pick_reason reason = by_hint ? pick_reason::idle_hint : pick_reason::score;
+    return choice{best.target, is_last_resort ? pick_reason::last_resort : reason, this->wait_of(best, now)};
+}
+
+std::optional<choice> router::best_peer(const pick_request& request, core::time_point now) const
+{
+    const state* best = nullptr;
+    for (const state& item : this->states)
+    {
+        const bool is_known = item.report.slots > 0 && !item.is_draining;
+        const bool is_avoided = now < item.marked_until || now < item.failed_until || was_tried(request, *item.target);
+        if (is_known && !is_avoided && (best == nullptr || this->score_of(item, now) < this->score_of(*best, now)))
+        {
+            best = &item;
+        }
+    }
+    if (best == nullptr)
+    {
+        return std::nullopt;
+    }
+    return choice{best->target, pick_reason::score, this->wait_of(*best, now)};
+}
+
+std::error_code router::why_none(const pick_request& request) const noexcept
+{
+    if (this->states.empty())
+    {
+        return make_error_code(errors::no_endpoint_known);
+    }
+    const auto is_left = [&request](const state& item)
+    {
+        return !was_tried(request, *item.target);
+    };
+    const bool some_left = std::ranges::any_of(this->states, is_left);
+    return make_error_code(some_left ? errors::all_endpoints_draining : errors::all_endpoints_tried);
+}
+
+std::shared_ptr<const endpoint> router::next_probe(core::time_point now)
+{
+    const double age = in_nanoseconds(lazy_probe_age) * std::pow(probe_age_ratio, this->preference);
+    const auto least_age = core::duration{static_cast<core::duration::rep>(age)};
+    state* oldest = nullptr;
+    for (state& item : this->states)
+    {
+        const core::time_point known_at = std::max(item.reported_at, item.probed_at);
+        const bool is_due = !item.is_draining && now - known_at >= least_age;
+        if (is_due && (oldest == nullptr || known_at < std::max(oldest->reported_at, oldest->probed_at)))
+        {
+            oldest = &item;
+        }
+    }
+    if (oldest == nullptr)
+    {
+        return nullptr;
+    }
+    oldest->probed_at = now;
+    return oldest->target;
+}
+
+void router::on_sent(std::string_view id, core::time_point now)
+{
+    if (state* found = this->find(id); found != nullptr)
+    {
+        found->latency.on_started(now);
+    }
+}
+
+void router::on_answer(std::string_view id, const std::optional<core::load_report>& report, core::duration latency,
+                       core::time_point now)
+{
+    state* found = this->find(id);
+    if (found == nullptr)
+    {
+        return;
+    }
+    found->latency.on_finished(now, -found->travel);
+    ++found->answers;
+    found->failures = 0;
+    found->failed_until = {};
+    if (report)
+    {
+        this->take_report(*found, *report, now);
+    }
+    if (found->has_trial)
+    {
+        this->end_trial(*found, latency, now);
+    }
+    this->update_mark(*found, now);
+}
+
+void router::on_refused(std::string_view id, const std::optional<core::load_report>& report, core::time_point now)
+{
+    state* found = this->find(id);
+    if (found == nullptr)
+    {
+        return;
+    }
+    found->latency.on_abandoned(now);
+    found->failures = 0;
+    found->failed_until = {};
+    if (report)
+    {
+        this->take_report(*found, *report, now);
+    }
+}
+
+void router::on_failed(std::string_view id, core::time_point now)
+{
+    state* found = this->find(id);
+    if (found == nullptr)
+    {
+        return;
+    }
+    found->latency.on_abandoned(now);
+    found->has_hint = false;
+    // Calls that fail together, as when a connection breaks, are one failure.
+    if (now >= found->failed_until)
+    {
+        found->failed_until =
+            now + doubled(this->settings.failure_back_off, found->failures, greatest_failure_doublings);
+        ++found->failures;
+    }
+}
+
+void router::on_cancelled(std::string_view id, core::time_point now)
+{
+    if (state* found = this->find(id); found != nullptr)
+    {
+        found->latency.on_abandoned(now);
+    }
+}
+
+void router::on_report(std::string_view id, const core::load_report& report, core::time_point now)
+{
+    if (state* found = this->find(id); found != nullptr)
+    {
+        this->take_report(*found, report, now);
+        this->update_mark(*found, now);
+    }
+}
+
+void router::on_idle_hint(std::string_view id, std::uint32_t free_slots, core::time_point now)
+{
+    state* found = this->find(id);
+    if (found == nullptr || free_slots == 0)
+    {
+        return;
+    }
+    found->has_hint = true;
+    found->hint_until = now + this->settings.hint_lifetime;
+    if (found->report.slots >= free_slots)
+    {
+        found->report.in_flight = found->report.slots - free_slots;
+        found->report.queued = 0;
+        found->reported_at = now;
+        found->own_at_report = found->in_flight();
+    }
+}
+
+bool router::is_marked(std::string_view id, core::time_point now) const
+{
+    const auto found =
+        std::ranges::find(this->states, id, [](const state& item) { return std::string_view{item.target->id}; });
+    return found != this->states.end() && now < found->marked_until;
+}
+
+router::state* router::find(std::string_view id) noexcept
+{
+    const auto name = [](const state& item)
+    {
+        return std::string_view{item.target->id};
+    };
+    const auto found = std::ranges::lower_bound(this->states, id, {}, name);
+    return found != this->states.end() && name(*found) == id ? &*found : nullptr;
+}
+
+router::state router::make_state(std::shared_ptr<const endpoint> target, core::time_point now) const
+{
+    const bool is_local_zone = target->availability_zone == this->settings.availability_zone;
+    const bool is_draining = target->draining;
+    state value{.target = std::move(target),
+                .travel = is_local_zone ? core::duration::zero() : this->settings.zone_cost,
+                .added_at = now,
+                .is_cold = this->has_list,
+                .is_draining = is_draining,
+                .report = {},
+                .reported_at = {},
+                .latency = {this->settings.assumed_service_time, latency_memory, now},
+                .hint_until = {},
+                .marked_until = {},
+                .next_trial = {},
+                .failed_until = {},
+                .probed_at = {}};
+    return value;
+}
+
+double router::slots_of(const state& value, core::time_point now) const noexcept
+{
+    const double reported = value.report.slots > 0 ? value.report.slots : this->settings.assumed_slots;
+    const core::duration age = now - value.added_at;
+    if (!value.is_cold || age >= this->settings.cold_start_ramp)
+    {
+        return reported;
+    }
+    const double passed = in_nanoseconds(age) / in_nanoseconds(this->settings.cold_start_ramp);
+    const double fraction = std::clamp(cold_fraction + (1.0 - cold_fraction) * passed, cold_fraction, 1.0);
+    // The receiver's own ramp already lowers the reported slots, so the two ramps are not multiplied.
+    return std::min(reported, fraction * this->settings.assumed_slots);
+}
+
+double router::service_time_of(const state& value) const noexcept
+{
+    const core::duration reported = value.report.service_time;
+    return in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
+}
+
+double router::load_of(const state& value, core::time_point now) const noexcept
+{
+    const double own = value.in_flight();
+    const double reported = static_cast<double>(value.report.in_flight) + value.report.queued;
+    const double others = std::max(0.0, reported - value.own_at_report);
+    const double age = in_nanoseconds(now - value.reported_at) / in_nanoseconds(this->settings.report_half_life);
+    return own + (value.report.slots > 0 ? others * std::exp2(-std::max(0.0, age)) : 0.0);
+}
+
+double router::score_of(const state& value, core::time_point now) const noexcept
+{
+    const double utilisation = (this->load_of(value, now) + 1.0) / this->slots_of(value, now);
+    return utilisation * this->service_time_of(value) + in_nanoseconds(value.travel);
+}
+
+core::duration router::wait_of(const state& value, core::time_point now) const noexcept
+{
+    const double slots = this->slots_of(value, now);
+    const double excess = std::max(0.0, this->load_of(value, now) + 1.0 - slots);
+    const double wait = excess / slots * this->service_time_of(value) + in_nanoseconds(value.travel);
+    return core::duration{static_cast<core::duration::rep>(wait)};
+}
+
+bool router::collect(const pick_request& request, core::time_point now, bool with_marked, bool with_failed)
+{
+    this->candidates.clear();
+    for (state& item : this->states)
+    {
+        const bool is_avoided = (!with_marked && now < item.marked_until) || (!with_failed && now < item.failed_until);
+        if (!item.is_draining && !is_avoided && !was_tried(request, *item.target))
+        {
+            this->candidates.push_back(&item);
+        }
+    }
+    return !this->candidates.empty();
+}
+
+router::state& router::best_candidate(core::time_point now, std::mt19937_64& random)
+{
+    const std::size_t count = this->candidates.size();
+    const std::size_t first = std::uniform_int_distribution<std::size_t>{0, count - 1}(random);
+    state* best = this->candidates[first];
+    double best_score = this->score_of(*best, now);
+    const auto consider = [&](state& item)
+    {
+        const double score = this->score_of(item, now);
+        if (score < best_score)
+        {
+            best = &item;
+            best_score = score;
+        }
+    };
+    if (count > 1)
+    {
+        const std::size_t offset = std::uniform_int_distribution<std::size_t>{1, count - 1}(random);
+        consider(*this->candidates[(first + offset) % count]);
+    }
+    for (state* item : this->candidates)
+    {
+        if (item->has_hint && now < item->hint_until)
+        {
+            consider(*item);
+        }
+    }
+    return *best;
+}
+
+router::state* router::due_trial(core::time_point now)
+{
+    for (state& item : this->states)
+    {
+        const bool is_free = !item.is_draining && now >= item.failed_until && item.in_flight() == 0;
+        if (is_free && now < item.marked_until && now >= item.next_trial)
+        {
+            return &item;
+        }
+    }
+    return nullptr;
+}
+
+void router::take_report(state& value, const core::load_report& report, core::time_point now)
+{
+    value.report = report;
+    value.reported_at = now;
+    value.own_at_report = value.in_flight();
+    value.is_draining = value.is_draining || report.draining;
+}
+
+} // namespace poplarport::routing
