Add the upstream stand-in and the program upstream-standin

Cause: tests and the demo need an upstream whose load, faults and record of the requests that it ran are under control. Ruled out: a ledger written only at the end of a request, because a request that was running when the process was killed would be missing from it. Change: standins::upstream_server on http::server with slots, a short queue, service times from a seed, cold start, shedding, drain, deadlines, cancellation, lagging or misleading /health and /load, and faults by option or by POST /faults at the control address. The ledger has a line before each run and one after it, flushed at once. answer_body() derives the answer from the key and the hash of the body. Measured: build/libs/standins/unit_standins, 5 tests pass. By hand with curl: one slot and a queue of one answer two of four concurrent requests and shed two with 503; a closed connection ends its run as cancelled; a passed deadline starts nothing. Conclusion: the load tool and the nodes can be tested against it.

--- /dev/null
+++ b/libs/standins/include/poplarport/standins/upstream/service_times.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>      // duration, milliseconds
+#include <cstdint>     // uint64_t
+#include <optional>    // optional
+#include <random>      // mt19937_64
+#include <string_view> // string_view
+
+#include "poplarport/core/time.hpp"
+
+namespace poplarport::standins
+{
+
+/// @brief Shape of the service times.
+enum class service_time_shape
+{
+    constant,    ///< always the mean
+    exponential, ///< memoryless
+    lognormal    ///< long tail
+};
+
+/// @brief Parses `constant`, `exponential` or `lognormal`.
+/// @return the shape, or nothing for any other text
+[[nodiscard]] std::optional<service_time_shape> service_time_shape_from_string(std::string_view text);
+
+/// @brief A time in milliseconds with a fraction.
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+/// @brief Generates service times from a seed.
+class service_times
+{
+  public:
+    /// @brief Parameters of the generator.
+    struct options
+    {
+        service_time_shape shape{service_time_shape::constant};
+        milliseconds_f mean{5.0}; ///< mean of the service time
+        double sigma{1.0};        ///< standard deviation of the logarithm, lognormal only
+        std::uint64_t seed{1};
+    };
+
+    /// @param[in] values parameters of the generator
+    explicit service_times(const options& values);
+
+    /// @return the next service time
+    [[nodiscard]] core::duration next();
+
+  private:
+    options chosen;
+    std::mt19937_64 random;
+};
+
+} // namespace poplarport::standins
