Add HTTP/2 sessions between nodes

Cause: calls between nodes need many streams on one connection, flow control in both directions, and a typed proof when nothing ran. Ruled out: nghttp2's automatic window updates, because a slow reader would not hold the sender back; its send callback, because output has to stop at the socket's bound. Change: peer::server (calls as http::server_exchange, refusal by REFUSED_STREAM, two-step GOAWAY), peer::link (connection on demand with back-off, proofs, check for silence), peer::session_clock, counters, result codes 1200 to 1213. Conclusion: the node's calls can build on these interfaces; proofs, drain, silence and back-pressure get their tests next.

--- /dev/null
+++ b/libs/peer/include/poplarport/peer/detail/session.hpp
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <cstddef>       // size_t
+#include <cstdint>       // int32_t, uint32_t, uint64_t
+#include <functional>    // function
+#include <memory>        // enable_shared_from_this, shared_ptr, unique_ptr
+#include <string_view>   // string_view
+#include <system_error>  // error_code
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+#include <nghttp2/nghttp2.h>
+
+#include "poplarport/core/time.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/stream_socket.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/peer/counters.hpp"
+#include "poplarport/peer/detail/stream.hpp"
+#include "poplarport/peer/session_clock.hpp"
+
+namespace poplarport::peer::detail
+{
+
+/// @brief Which side of the connection a session is.
+enum class session_role
+{
+    server,
+    client
+};
+
+/// @brief Limits of a session.
+struct session_limits
+{
+    std::size_t header_bytes;
+    std::uint32_t streams; ///< greatest number of streams that the other side may open
+    core::duration check_after;
+    core::duration silent_after;
+    core::duration idle_check_after;
+};
+
+/// @brief One HTTP/2 connection: nghttp2 over a socket, its streams, and the check for silence.
+///
+/// Hooks of streams run while bytes are received or after output was pulled, never inside nghttp2's output function.
+class session : public std::enable_shared_from_this<session>
+{
+  public:
+    session(net::event_loop& owner, session_role side, const session_limits& values, std::shared_ptr<counters> totals);
+    virtual ~session();
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    /// @brief Takes the socket, sets its hooks and submits the settings.
+    /// @param[in] carrier   connected or connecting socket
+    void start(std::unique_ptr<net::stream_socket> carrier);
+
+    /// @brief Closes at once; every stream is told.
+    void close(std::error_code reason);
+
+    /// @brief Pulls output from nghttp2 in a later iteration, so that frames of one iteration share a system call.
+    void request_pump();
+
+    /// @brief Opens a stream for a request.
+    /// @return false when nghttp2 does not take it
+    [[nodiscard]] bool submit_request(const std::shared_ptr<stream>& target,
+                                      const std::vector<http::header_field>& fields, bool has_body);
+
+    /// @brief Submits the head of an answer; the body follows from the stream's output buffer.
+    void submit_response(const stream& target, const std::vector<http::header_field>& fields);
+
+    /// @brief Submits the head of an interim answer.
+    void submit_interim(const stream& target, const std::vector<http::header_field>& fields);
+
+    /// @brief Continues with the stream's output.
+    void resume_output(stream& target);
+
+    /// @brief Resets a stream and forgets it; it is told nothing.
+    void reset_stream(stream& target, std::uint32_t code);
+
+    /// @brief Returns window for bytes that were delivered or discarded.
+    void consume(std::int32_t stream_id, std::size_t bytes);
+
+    /// @brief Starts the two-step GOAWAY.
+    /// @param[in] step longest wait for the round trip between the steps
+    void drain(core::duration step);
+
+    /// @return whether the session takes new calls of its own side
+    [[nodiscard]] bool is_usable() const noexcept;
+
+    [[nodiscard]] bool is_connected() const noexcept;
+    [[nodiscard]] std::size_t stream_count() const noexcept;
+    [[nodiscard]] net::event_loop& event_loop() const noexcept;
+    [[nodiscard]] core::socket_address remote_address() const;
+    [[nodiscard]] session_clock& clock() noexcept;
+    [[nodiscard]] counters& totals() noexcept;
+
+  protected:
+    friend struct session_callbacks;
+
+    /// @brief A stream was opened by the other side; nothing when it is not accepted.
+    [[nodiscard]] virtual std::shared_ptr<stream> accept_stream() = 0;
+    virtual void handle_connected() = 0;
+    virtual void handle_first_bytes() = 0;
+
+    /// @brief The connection ended; called once, after the streams were told.
+    virtual void handle_closed(std::error_code reason) = 0;
+
+  private:
+    struct completion
+    {
+        std::shared_ptr<stream> target;
+        std::error_code error;
+        proof not_run;
+    };
+
+    struct native_deleter
+    {
+        void operator()(nghttp2_session* target) const noexcept;
+    };
+
+    void connect_finished();
+    void pump();
+    [[nodiscard]] bool pull_output();
+    void run_completions();
+    void receive(std::string_view bytes);
+    void finish_if_done();
+    void send_ping();
+    void handle_ping_answer(std::uint64_t number);
+    void submit_final_goaway();
+    void check_liveness();
+    void arm_liveness();
+    [[nodiscard]] core::time_point liveness_deadline() const noexcept;
+    [[nodiscard]] bool awaits_ping() const noexcept;
+    void add_stream(const std::shared_ptr<stream>& target);
+    [[nodiscard]] std::shared_ptr<stream> find(std::int32_t stream_id) const;
+    void complete(std::int32_t stream_id, std::error_code error, proof not_run);
+    [[nodiscard]] proof proof_of(const stream& target) const noexcept;
+
+    net::event_loop* loop;
+    session_role role;
+    session_limits limits;
+    std::shared_ptr<counters> total;
+    std::unique_ptr<net::stream_socket> socket{};
+    std::unique_ptr<nghttp2_session, native_deleter> native{};
+    std::unordered_map<std::int32_t, std::shared_ptr<stream>> streams{};
+    std::vector<completion> completions{};
+    std::vector<std::shared_ptr<stream>> drained_streams{};
+    session_clock estimator{};
+    net::timer liveness;
+    net::timer drain_timer;
+    bool connected{false};
+    bool received_any{false};
+    bool ended{false};
+    bool receiving{false};
+    bool pumping{false};
+    bool pump_posted{false};
+    bool finishing{false};
+    bool goaway_received{false};
+    std::int32_t goaway_last_stream{0};
+    bool draining{false};
+    bool final_goaway{false};
+    std::uint64_t drain_ping{0};
+    std::size_t queued_total{0}; ///< bytes handed to the socket
+    std::size_t frame_offset{0}; ///< bytes before the frame that nghttp2 is packing
+    std::uint64_t ping_number{0};
+    bool ping_outstanding{false};
+    core::time_point ping_sent_at{};
+    core::time_point last_byte_at{};
+    core::time_point expecting_since{};
+};
+
+} // namespace poplarport::peer::detail
--- /dev/null
+++ b/libs/peer/include/poplarport/peer/session_clock.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>   // microseconds
+#include <optional> // optional
+
+namespace poplarport::peer
+{
+
+/// @brief Estimates by how much each message of a connection was delayed beyond the fastest one.
+///
+/// The clocks of the two sides have an unknown offset. The smallest difference between the time of receipt and the
+/// sender's reading is that offset plus the shortest delay seen; what a message exceeds it by is additional delay.
+class session_clock
+{
+  public:
+    /// @brief Takes one message into account.
+    /// @param[in] sent_at     the sender's monotonic clock (poplar-sent-at-us)
+    /// @param[in] received_at the receiver's monotonic clock
+    /// @return the delay beyond the smallest difference seen on this connection, never below zero
+    [[nodiscard]] std::chrono::microseconds excess(std::chrono::microseconds sent_at,
+                                                   std::chrono::microseconds received_at) noexcept;
+
+    /// @brief Subtracts the excess of one message from the time that its sender left for it.
+    /// @return the remaining time, not below zero
+    [[nodiscard]] std::chrono::microseconds remaining(std::chrono::microseconds time_left,
+                                                      std::chrono::microseconds sent_at,
+                                                      std::chrono::microseconds received_at) noexcept;
+
+  private:
+    std::optional<std::chrono::microseconds> smallest{};
+};
+
+} // namespace poplarport::peer
--- /dev/null
+++ b/libs/peer/src/server_session.cpp
@@ -0,0 +1,259 @@
+#include "poplarport/peer/detail/server_session.hpp"
+
+#include <utility> // exchange, move
+
+#include "poplarport/peer/errors.hpp"
+
+namespace poplarport::peer::detail
+{
+
+server_session::server_session(const std::shared_ptr<server::state>& server)
+    : session(*server->loop, session_role::server,
+              {.header_bytes = server->chosen.header_bytes,
+               .streams = server->chosen.streams,
+               .check_after = server->chosen.idle_check_after,
+               .silent_after = server->chosen.silent_after,
+               .idle_check_after = server->chosen.idle_check_after},
+              server->totals),
+      owner(server)
+{
+}
+
+void server_session::deliver(std::shared_ptr<server_call> call) const
+{
+    const auto target = this->owner.lock();
+    if (!target || !target->call)
+    {
+        call->refuse_stream();
+        return;
+    }
+    const auto hook = target->call;
+    hook(std::move(call));
+}
+
+std::shared_ptr<stream> server_session::accept_stream()
+{
+    return std::make_shared<server_stream>(this->weak_from_this());
+}
+
+void server_session::handle_connected()
+{
+}
+
+void server_session::handle_first_bytes()
+{
+}
+
+void server_session::handle_closed(std::error_code /*reason*/)
+{
+    if (const auto target = this->owner.lock())
+    {
+        target->sessions.erase(std::static_pointer_cast<server_session>(this->shared_from_this()));
+        target->notify_if_drained();
+    }
+}
+
+server_stream::server_stream(std::weak_ptr<session> carrying) noexcept : stream(std::move(carrying))
+{
+}
+
+const http::request_head& server_stream::request() const noexcept
+{
+    return this->head;
+}
+
+void server_stream::set_hooks(hooks values)
+{
+    this->events = std::make_shared<hooks>(std::move(values));
+}
+
+void server_stream::set_reading(bool enabled)
+{
+    if (!this->ended)
+    {
+        this->set_input_enabled(enabled);
+    }
+}
+
+void server_stream::send_interim(const http::response_head& answer)
+{
+    constexpr int switching_protocols = 101;
+    const auto session = this->carrier.lock();
+    if (session && !this->ended && !this->head_sent && answer.status != switching_protocols)
+    {
+        session->submit_interim(*this, encode(answer));
+    }
+}
+
+void server_stream::send_head(http::response_head answer)
+{
+    const auto session = this->carrier.lock();
+    if (!session || this->ended || this->head_sent)
+    {
+        return;
+    }
+    this->head_sent = true;
+    this->body_allowed = this->head.method != "HEAD" && !http::is_bodyless_status(answer.status);
+    this->is_fixed = answer.framing == http::body_framing::fixed;
+    this->remaining = answer.content_length;
+    session->submit_response(*this, encode(answer));
+}
+
+void server_stream::send_body(std::string_view bytes)
+{
+    if (this->ended || !this->head_sent || !this->body_allowed || bytes.empty())
+    {
+        return;
+    }
+    if (this->is_fixed)
+    {
+        if (bytes.size() > this->remaining)
+        {
+            this->abort();
+            return;
+        }
+        this->remaining -= bytes.size();
+    }
+    this->queue_output(bytes);
+}
+
+void server_stream::finish()
+{
+    if (this->ended)
+    {
+        return;
+    }
+    const bool is_short = this->is_fixed && this->remaining != 0 && this->body_allowed;
+    if (!this->head_sent || is_short)
+    {
+        this->abort();
+        return;
+    }
+    this->ended = true;
+    this->events = std::make_shared<hooks>();
+    // The rest of the request is of no use; withheld, it would use up the session's window.
+    this->set_input_enabled(true);
+    this->end_output();
+}
+
+void server_stream::abort()
+{
+    this->reset(NGHTTP2_INTERNAL_ERROR);
+}
+
+void server_stream::refuse_stream()
+{
+    if (this->ended)
+    {
+        return;
+    }
+    const auto session = this->carrier.lock();
+    if (session && !this->head_sent)
+    {
+        ++session->totals().refused;
+    }
+    this->reset(this->head_sent ? NGHTTP2_INTERNAL_ERROR : NGHTTP2_REFUSED_STREAM);
+}
+
+void server_stream::reset(std::uint32_t code)
+{
+    if (std::exchange(this->ended, true))
+    {
+        return;
+    }
+    this->events = std::make_shared<hooks>();
+    if (const auto session = this->carrier.lock())
+    {
+        session->reset_stream(*this, code);
+    }
+}
+
+std::size_t server_stream::pending_bytes() const noexcept
+{
+    return this->queued_bytes();
+}
+
+bool server_stream::request_complete() const noexcept
+{
+    return this->end_delivered;
+}
+
+core::socket_address server_stream::caller() const
+{
+    const auto session = this->carrier.lock();
+    return session ? session->remote_address() : core::socket_address{};
+}
+
+session_clock& server_stream::clock() noexcept
+{
+    const auto session = this->carrier.lock();
+    return session ? session->clock() : this->detached_clock;
+}
+
+core::time_point server_stream::received_at() const noexcept
+{
+    return this->arrival;
+}
+
+bool server_stream::receive_head(const header_block& received, bool has_body)
+{
+    if (this->head_received)
+    {
+        // Trailer fields: none of the project's messages has any, and the exchange has no place for them.
+        return !has_body;
+    }
+    auto decoded = received.to_request(has_body);
+    const auto session = this->carrier.lock();
+    if (!decoded || !session)
+    {
+        return false;
+    }
+    this->head = std::move(*decoded);
+    this->head_received = true;
+    this->arrival = session->event_loop().now();
+    static_cast<const server_session&>(*session).deliver(
+        std::static_pointer_cast<server_stream>(this->shared_from_this()));
+    return true;
+}
+
+void server_stream::receive_body(std::string_view bytes)
+{
+    const auto running = this->events;
+    if (!this->ended && running->on_body)
+    {
+        running->on_body(bytes);
+    }
+}
+
+void server_stream::receive_end()
+{
+    const auto running = this->events;
+    if (!this->ended && running->on_body_end)
+    {
+        running->on_body_end();
+    }
+}
+
+void server_stream::output_drained()
+{
+    const auto running = this->events;
+    if (!this->ended && running->on_writable)
+    {
+        running->on_writable();
+    }
+}
+
+void server_stream::closed(std::error_code error, proof /*not_run*/)
+{
+    if (std::exchange(this->ended, true))
+    {
+        return;
+    }
+    const auto running = std::exchange(this->events, std::make_shared<hooks>());
+    if (running->on_cancelled)
+    {
+        running->on_cancelled(error);
+    }
+}
+
+} // namespace poplarport::peer::detail
--- /dev/null
+++ b/libs/peer/tests/peer_fixture.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <chrono>     // seconds
+#include <functional> // function
+#include <memory>     // shared_ptr
+#include <optional>   // optional
+#include <string>     // string
+
+#include "poplarport/http/server.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/peer/link.hpp"
+#include "poplarport/peer/server.hpp"
+
+namespace poplarport::test
+{
+
+inline const core::socket_address loopback{"127.0.0.1", 0};
+
+// Runs the loop until the condition holds, for a bounded time.
+inline bool run_until(net::event_loop& loop, const std::function<bool()>& condition,
+                      core::duration limit = std::chrono::seconds{10})
+{
+    bool expired = false;
+    net::timer timer{loop, [&]
+                     {
+                         expired = true;
+                     }};
+    timer.schedule(limit);
+    while (!condition() && !expired)
+    {
+        loop.run_once();
+    }
+    return !expired;
+}
+
+// What a call has delivered so far.
+struct call_result
+{
+    std::optional<http::response_head> head{};
+    int interim_status{0};
+    std::string body{};
+    bool ended{false};
+    std::optional<peer::call_failure> failure{};
+
+    [[nodiscard]] bool is_over() const
+    {
+        return this->ended || this->failure.has_value();
+    }
+};
+
+inline peer::client_call::hooks collect(call_result& result)
+{
+    return {.on_interim = [&result](const http::response_head& head) { result.interim_status = head.status; },
+            .on_head = [&result](http::response_head& head) { result.head = head; },
+            .on_body = [&result](std::string_view bytes) { result.body.append(bytes); },
+            .on_end = [&result] { result.ended = true; },
+            .on_writable = {},
+            .on_failed =
+                [&result](const peer::call_failure& failure)
+            {
+                result.failure = failure;
+            }};
+}
+
+inline http::request_head make_head(const std::string& method, http::body_framing framing, std::uint64_t length = 0)
+{
+    http::request_head head{.method = method, .target = "/path?query", .framing = framing, .content_length = length};
+    head.fields.add("Host", "orders");
+    head.fields.add("X-Field", "value");
+    return head;
+}
+
+// Fixed data that differs between seeds, so that bytes of another stream are noticed.
+inline std::string make_data(std::size_t size, std::size_t seed)
+{
+    std::string data(size, '\0');
+    for (std::size_t index = 0; index < size; ++index)
+    {
+        data[index] = static_cast<char>((index * 31 + seed * 17 + index / 251) % 253);
+    }
+    return data;
+}
+
+// Sends each piece of the request's body back as it arrives, holding the sender back while the answer is not taken.
+inline void echo(const std::shared_ptr<peer::server_call>& call)
+{
+    constexpr std::size_t bound_bytes = 32768;
+    auto* const raw = call.get();
+    call->send_head({.status = 200, .framing = http::body_framing::chunked});
+    call->set_hooks({.on_body =
+                         [raw](std::string_view bytes)
+                     {
+                         raw->send_body(bytes);
+                         raw->set_reading(raw->pending_bytes() < bound_bytes);
+                     },
+                     .on_body_end = [call] { call->finish(); },
+                     .on_writable = [raw] { raw->set_reading(true); },
+                     .on_cancelled = {}});
+}
+
+} // namespace poplarport::test
--- /dev/null
+++ b/libs/peer/tests/unit-calls.cpp
@@ -0,0 +1,134 @@
+#include "peer_fixture.hpp"
+
+#include <algorithm> // ranges::all_of
+#include <deque>     // deque
+#include <vector>    // vector
+
+#include "poplarport/net/errors.hpp"
+#include "poplarport/peer/errors.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarport;
+using namespace poplarport::test;
+using namespace std::chrono_literals;
+
+TEST_GROUP(peer_calls)
+{
+    net::event_loop loop;
+
+    peer::server serve(peer::server::call_hook hook)
+    {
+        return peer::server::builder{}.listen_on(loopback).on_call(std::move(hook)).build(this->loop);
+    }
+
+    peer::link connect(const peer::server& server)
+    {
+        return peer::link::builder{}.connect_to(server.address()).build(this->loop);
+    }
+};
+
+// Guards against fields, the target or the framing lost between the two nodes.
+TEST(peer_calls, head_arrives_unchanged_and_connection_fields_do_not)
+{
+    http::request_head seen;
+    const auto server = this->serve(
+        [&](const std::shared_ptr<peer::server_call>& call)
+        {
+            seen = call->request();
+            call->send_interim({.status = 103});
+            http::response_head answer{.status = 201};
+            answer.fields.add("X-Answer", "kept");
+            answer.fields.add("Connection", "X-Dropped");
+            answer.fields.add("X-Dropped", "lost");
+            http::respond(*call, std::move(answer), "hello");
+        });
+    auto link = this->connect(server);
+    call_result result;
+    auto head = make_head("GET", http::body_framing::none);
+    head.fields.add("Keep-Alive", "5");
+    const auto call = link.start(head, collect(result));
+    CHECK(run_until(this->loop, [&] { return result.is_over(); }));
+    CHECK(result.ended);
+    STRCMP_EQUAL("GET", seen.method.c_str());
+    STRCMP_EQUAL("/path?query", seen.target.c_str());
+    STRCMP_EQUAL("orders", seen.fields.find("Host")->c_str());
+    STRCMP_EQUAL("value", seen.fields.find("X-Field")->c_str());
+    POINTERS_EQUAL(nullptr, seen.fields.find("Keep-Alive"));
+    CHECK(seen.framing == http::body_framing::none);
+    LONGS_EQUAL(103, result.interim_status);
+    LONGS_EQUAL(201, result.head->status);
+    CHECK(result.head->framing == http::body_framing::fixed);
+    LONGS_EQUAL(5, result.head->content_length);
+    STRCMP_EQUAL("kept", result.head->fields.find("X-Answer")->c_str());
+    POINTERS_EQUAL(nullptr, result.head->fields.find("X-Dropped"));
+    STRCMP_EQUAL("hello", result.body.c_str());
+}
+
+// Guards against bytes lost, reordered or delivered to another stream when many streams are in progress at once.
+TEST(peer_calls, bodies_in_both_directions_stay_unchanged_on_many_streams)
+{
+    constexpr std::size_t stream_count = 40;
+    constexpr std::size_t piece_bytes = 7001;
+    const auto server = this->serve(echo);
+    auto link = this->connect(server);
+    std::deque<call_result> results(stream_count);
+    std::vector<std::string> sent;
+    std::vector<std::shared_ptr<peer::client_call>> calls;
+    for (std::size_t index = 0; index < stream_count; ++index)
+    {
+        sent.push_back(make_data(200'000 + index * 997, index));
+        calls.push_back(
+            link.start(make_head("POST", http::body_framing::fixed, sent.back().size()), collect(results[index])));
+    }
+    for (std::size_t offset = 0; offset < sent.back().size(); offset += piece_bytes)
+    {
+        for (std::size_t index = 0; index < stream_count; ++index)
+        {
+            calls[index]->send_body(offset < sent[index].size() ? sent[index].substr(offset, piece_bytes) : "");
+        }
+    }
+    for (const auto& call : calls)
+    {
+        call->finish_request();
+    }
+    const auto all_over = [&]
+    {
+        return std::ranges::all_of(results, &call_result::is_over);
+    };
+    CHECK(run_until(this->loop, all_over));
+    for (std::size_t index = 0; index < stream_count; ++index)
+    {
+        CHECK(results[index].ended);
+        CHECK(results[index].body == sent[index]);
+    }
+    LONGS_EQUAL(1, server.statistics().sessions);
+    LONGS_EQUAL(stream_count, server.statistics().streams);
+    LONGS_EQUAL(0, server.stream_count());
+    LONGS_EQUAL(0, link.call_count());
+    CHECK(link.statistics().bytes_in > stream_count * 200'000);
+}
+
+// Guards against a call to a closed port that is reported as possibly run, and against a storm of connections to it.
+TEST(peer_calls, refused_connection_proves_not_sent_and_starts_the_back_off)
+{
+    core::socket_address unused;
+    {
+        const auto temporary = this->serve({});
+        unused = temporary.address();
+    }
+    this->loop.post([] {});
+    this->loop.run_once();
+    auto link = peer::link::builder{}.connect_to(unused).build(this->loop);
+    call_result first;
+    const auto call = link.start(make_head("GET", http::body_framing::none), collect(first));
+    CHECK(run_until(this->loop, [&] { return first.is_over(); }));
+    CHECK(first.failure->error == net::errc::connect_failed);
+    CHECK(first.failure->not_run == peer::proof::not_sent);
+    call_result second;
+    const auto repeated = link.start(make_head("GET", http::body_framing::none), collect(second));
+    CHECK_FALSE(second.is_over());
+    CHECK(run_until(this->loop, [&] { return second.is_over(); }));
+    CHECK(second.failure->error == peer::errc::link_backing_off);
+    CHECK(second.failure->not_run == peer::proof::not_sent);
+}
