Add the local path of a node: entry, call driver, admission to the upstream

Cause: a call has to reach the upstream beside the node and come back with its outcome. Ruled out: deciding outcomes in the transport. Channels report what happened with its proof; attempts::call alone concludes, so one place can say "not run". Change: node::entry (service, tenant, class, limits), call_driver (carries out the actions of attempts::call), receiver and local_channel (admission gate, upstream connections). Conclusion: peers can be added behind the same channel interface.

--- /dev/null
+++ b/libs/node/include/poplarport/node/call_driver.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <cstdint>      // uint64_t
+#include <deque>        // deque
+#include <functional>   // function
+#include <memory>       // enable_shared_from_this, shared_ptr
+#include <optional>     // optional
+#include <random>       // mt19937_64
+#include <string>       // string
+#include <system_error> // error_code
+#include <vector>       // vector
+
+#include "poplarport/attempts/call.hpp"
+#include "poplarport/core/outcome.hpp"
+#include "poplarport/http/server.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/node/attempt_channel.hpp"
+#include "poplarport/node/call_description.hpp"
+
+namespace poplarport::node
+{
+
+/// @brief How a call ended, for metrics and logs.
+struct call_result
+{
+    core::outcome outcome{core::outcome::unknown};
+    std::error_code code{}; ///< empty for `answered`
+    int status{0};          ///< status sent to the caller, 0 when the caller was gone
+    core::duration latency{0};
+    std::size_t attempts{0};
+};
+
+/// @brief An attempt that was opened.
+struct opened_attempt
+{
+    core::node_id endpoint;
+    std::shared_ptr<attempt_channel> channel;
+};
+
+/// @brief Carries out one call at its entry node: forwards the caller's request to the endpoints that `attempts::call`
+/// asks for and the answer back to the caller.
+class call_driver : public std::enable_shared_from_this<call_driver>
+{
+  public:
+    /// @brief Hooks to the rest of the node.
+    struct hooks
+    {
+        /// Opens an attempt; nothing when there is no endpoint.
+        std::function<std::optional<opened_attempt>(const attempts::start_parameters&, const http::request_head&,
+                                                    const call_description&, attempt_channel::hooks)>
+            open;
+        std::function<void(const call_result&)> on_finished; ///< called exactly once
+    };
+
+    /// @param[in] loop        loop of the node
+    /// @param[in] exchange    the caller's request
+    /// @param[in] description what the entry node found out
+    /// @param[in] request     what the attempt logic needs to know
+    /// @param[in] limits      limits for attempts
+    /// @param[in] budget      retry budget of the service; must outlive the call
+    /// @param[in] random      random engine of the node
+    /// @param[in] events      hooks to the rest of the node
+    call_driver(net::event_loop& loop, std::shared_ptr<http::server_exchange> exchange, call_description description,
+                const attempts::call_request& request, const attempts::call_limits& limits,
+                attempts::retry_budget& budget, std::mt19937_64& random, hooks events);
+
+    /// @brief Starts the first attempt.
+    void start();
+
+  private:
+    struct slot
+    {
+        std::shared_ptr<attempt_channel> channel{};
+        std::optional<http::response_head> head{};
+        bool sent_reported{false};
+    };
+
+    struct queued_event
+    {
+        attempts::attempt_id id;
+        attempts::attempt_event event;
+    };
+
+    [[nodiscard]] http::server_exchange::hooks caller_hooks();
+    [[nodiscard]] attempt_channel::hooks channel_hooks(attempts::attempt_id id);
+    void handle_body(std::string_view bytes);
+    void handle_body_end();
+    void handle_caller_gone();
+    void handle_failure(attempts::attempt_id id, const attempt_failure& failure);
+    void handle_answer_body(attempts::attempt_id id, std::string_view bytes);
+    void handle_timer();
+    void push(attempts::attempt_id id, attempts::attempt_event event);
+    void process_events();
+    void report_sent(attempts::attempt_id id);
+    void report_all_sent();
+    void execute(const attempts::call_actions& actions);
+    void open(const attempts::start_parameters& parameters);
+    void forward_head(attempts::attempt_id id);
+    void finish(const attempts::finish& ending);
+    int answer_without_upstream(const attempts::finish& ending);
+    void update_reading();
+    void schedule_timer();
+    [[nodiscard]] slot& slot_of(attempts::attempt_id id);
+
+    net::event_loop* loop;
+    std::shared_ptr<http::server_exchange> exchange;
+    call_description description;
+    http::request_head forwarded_request;
+    attempts::call call;
+    std::mt19937_64* random;
+    hooks events;
+    core::time_point started_at;
+    net::timer wakeup;
+    std::vector<slot> slots{};
+    std::deque<queued_event> queue{};
+    bool processing{false};
+    bool finished{false};
+    bool head_forwarded{false};
+    std::string body{};
+    std::uint64_t body_bytes{0};
+    bool body_complete{false};
+    bool body_discarded{false};
+    bool body_too_large{false};
+    bool caller_gone{false};
+    std::error_code last_reason{};
+};
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/include/poplarport/node/detail/local_channel.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <memory> // enable_shared_from_this, shared_ptr
+#include <string> // string
+
+#include "poplarport/http/client_connection.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/node/receiver.hpp"
+
+namespace poplarport::node::detail
+{
+
+/// @brief An attempt at the local upstream: waits for a slot, sends the request, streams the answer.
+class local_channel final : public attempt_channel, public std::enable_shared_from_this<local_channel>
+{
+  public:
+    local_channel(receiver& owner, std::string ticket, http::request_head head, received_call call, hooks events);
+
+    /// @brief Sends the request; called when the gate gave it a slot.
+    void dispatch();
+
+    /// @brief Ends the attempt with the proof that nothing was sent.
+    void refuse(std::error_code reason);
+
+    void send_body(std::string_view bytes) override;
+    void finish_request() override;
+    void set_reading(bool enabled) override;
+    void cancel() override;
+    [[nodiscard]] std::size_t pending_bytes() const noexcept override;
+    [[nodiscard]] bool has_sent_bytes() const noexcept override;
+
+  private:
+    enum class state
+    {
+        waiting,
+        dispatched,
+        answering,
+        ended
+    };
+
+    [[nodiscard]] http::client_connection::hooks connection_hooks();
+    void handle_head(http::response_head& head);
+    void handle_end();
+    void handle_failure(const http::client_failure& failure);
+    void handle_deadline();
+    void fail(attempts::attempt_event event, std::error_code reason);
+    void close_connection(bool reusable);
+    [[nodiscard]] answer_context context() const;
+
+    receiver* owner;
+    std::string ticket;
+    http::request_head head;
+    received_call call;
+    std::shared_ptr<hooks> events;
+    state current{state::waiting};
+    std::string buffered{};
+    bool request_finished{false};
+    bool is_shed{false};
+    core::time_point dispatched_at{};
+    std::shared_ptr<http::client_connection> connection{};
+    net::timer deadline_timer;
+};
+
+} // namespace poplarport::node::detail
--- /dev/null
+++ b/libs/node/include/poplarport/node/entry.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>       // uint64_t
+#include <functional>    // function
+#include <memory>        // shared_ptr, unique_ptr
+#include <optional>      // optional
+#include <random>        // mt19937_64
+#include <string>        // string
+#include <system_error>  // error_code
+#include <unordered_map> // unordered_map
+
+#include "poplarport/attempts/retry_budget.hpp"
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/http/server.hpp"
+#include "poplarport/limits/tenant_limiter.hpp"
+#include "poplarport/manifest/lookup.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/node/call_driver.hpp"
+
+namespace poplarport::node
+{
+
+/// @brief The caller-facing side of a node: finds service, tenant and class of each request, applies limits and starts
+/// the call.
+class entry
+{
+  public:
+    /// @brief Hooks to the rest of the node.
+    struct hooks
+    {
+        /// Opens an attempt of a call to a service.
+        std::function<std::optional<opened_attempt>(const attempts::start_parameters&, const http::request_head&,
+                                                    const call_description&, attempt_channel::hooks)>
+            open;
+        /// Called for each call that ended, with its tenant and class.
+        std::function<void(const call_description&, const call_result&)> on_finished;
+        /// Called for each request that was refused before it became a call.
+        std::function<void(std::error_code)> on_refused;
+        std::function<void()> on_idle; ///< the last call ended while draining
+    };
+
+    /// @param[in] loop      loop of the node
+    /// @param[in] address   address for callers
+    /// @param[in] directory configuration of the services; must outlive the entry
+    /// @param[in] random    random engine of the node
+    /// @param[in] name      name of the node, the first part of request ids
+    /// @param[in] events    hooks to the rest of the node
+    entry(net::event_loop& loop, const core::socket_address& address, const manifest::service_directory& directory,
+          std::mt19937_64& random, std::string name, hooks events);
+    ~entry();
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+
+    /// @return the address with the port in use
+    [[nodiscard]] core::socket_address address() const;
+
+    /// @brief Prepares a stop: answers close their connections, idle connections close.
+    void drain();
+
+    /// @brief Stops accepting connections.
+    void stop_listening();
+
+    /// @return calls in progress
+    [[nodiscard]] std::size_t calls_in_progress() const noexcept
+    {
+        return this->calls.size();
+    }
+
+    /// @return open connections of callers
+    [[nodiscard]] std::size_t connection_count() const noexcept
+    {
+        return this->server->connection_count();
+    }
+
+  private:
+    struct request_context
+    {
+        std::shared_ptr<const manifest::service_document> document;
+        const manifest::tenant_limits* tenant{nullptr};
+    };
+
+    void handle_request(const std::shared_ptr<http::server_exchange>& exchange);
+    [[nodiscard]] std::optional<request_context> identify(http::server_exchange& exchange);
+    [[nodiscard]] std::optional<core::duration> deadline_of(http::server_exchange& exchange,
+                                                            const manifest::service& rules);
+    [[nodiscard]] bool apply_limits(http::server_exchange& exchange, const request_context& context);
+    void begin_call(const std::shared_ptr<http::server_exchange>& exchange, const request_context& context,
+                    core::duration deadline);
+    void end_call(const core::request_id& id, const call_description& description, const call_result& result);
+    void refuse(http::server_exchange& exchange, int status, std::error_code reason,
+                std::optional<core::duration> retry_after = std::nullopt);
+    [[nodiscard]] attempts::retry_budget& budget_of(const manifest::service& rules);
+    [[nodiscard]] core::request_id make_request_id();
+
+    net::event_loop* loop;
+    const manifest::service_directory* directory;
+    std::mt19937_64* random;
+    std::string node_name;
+    hooks events;
+    limits::tenant_limiter limiter{};
+    std::unordered_map<std::string, std::unique_ptr<attempts::retry_budget>> budgets{};
+    std::unordered_map<core::request_id, std::shared_ptr<call_driver>> calls{};
+    net::timer housekeeping;
+    std::uint64_t last_request{0};
+    bool draining{false};
+    std::unique_ptr<http::server> server;
+};
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/src/call_driver.cpp
@@ -0,0 +1,401 @@
+#include "poplarport/node/call_driver.hpp"
+
+#include <algorithm> // any_of
+#include <utility>   // exchange, move
+#include <variant>   // visit
+
+#include "poplarport/attempts/errors.hpp"
+#include "poplarport/node/detail/forwarding.hpp"
+#include "poplarport/node/errors.hpp"
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+template <typename... Functions>
+struct overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+
+template <typename... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
+} // namespace
+
+call_driver::call_driver(net::event_loop& owner, std::shared_ptr<http::server_exchange> received,
+                         call_description described, const attempts::call_request& request,
+                         const attempts::call_limits& limits, attempts::retry_budget& budget, std::mt19937_64& engine,
+                         hooks values)
+    : loop(&owner), exchange(std::move(received)), description(std::move(described)),
+      forwarded_request(detail::make_upstream_request(exchange->request(), exchange->caller().host)),
+      call(request, limits, budget), random(&engine), events(std::move(values)), started_at(owner.now()),
+      wakeup(owner, [this] { this->handle_timer(); })
+{
+}
+
+void call_driver::start()
+{
+    this->exchange->set_hooks(this->caller_hooks());
+    this->body_complete = this->forwarded_request.framing == http::body_framing::none;
+    const auto keep = this->shared_from_this();
+    this->processing = true;
+    this->execute(this->call.start(this->loop->now()));
+    this->processing = false;
+    this->process_events();
+}
+
+http::server_exchange::hooks call_driver::caller_hooks()
+{
+    const auto weak = this->weak_from_this();
+    return {.on_body =
+                [weak](std::string_view bytes)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->handle_body(bytes);
+                }
+            },
+            .on_body_end =
+                [weak]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->handle_body_end();
+                }
+            },
+            .on_writable =
+                [weak]
+            {
+                const auto self = weak.lock();
+                if (self && self->call.forwarded())
+                {
+                    self->slot_of(*self->call.forwarded()).channel->set_reading(true);
+                }
+            },
+            .on_cancelled =
+                [weak](std::error_code)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->handle_caller_gone();
+                }
+            }};
+}
+
+attempt_channel::hooks call_driver::channel_hooks(attempts::attempt_id id)
+{
+    const auto weak = this->weak_from_this();
+    return {.on_interim =
+                [weak](const http::response_head& interim)
+            {
+                constexpr int early_hints = 103;
+                const auto self = weak.lock();
+                if (self && !self->head_forwarded && interim.status == early_hints)
+                {
+                    self->exchange->send_interim(interim);
+                }
+            },
+            .on_head =
+                [weak, id](http::response_head& head, const answer_context&)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->slot_of(id).head = std::move(head);
+                    self->report_sent(id);
+                    self->push(id, attempts::answer_head{});
+                }
+            },
+            .on_body =
+                [weak, id](std::string_view bytes)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->handle_answer_body(id, bytes);
+                }
+            },
+            .on_end =
+                [weak, id](const answer_context&)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->push(id, attempts::answer_end{});
+                }
+            },
+            .on_writable =
+                [weak]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->update_reading();
+                }
+            },
+            .on_failed =
+                [weak, id](const attempt_failure& failure)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->handle_failure(id, failure);
+                }
+            }};
+}
+
+void call_driver::handle_body(std::string_view bytes)
+{
+    const auto keep = this->shared_from_this();
+    this->body_bytes += bytes.size();
+    if (this->body_bytes > this->description.body_limit_bytes)
+    {
+        this->body_too_large = true;
+        this->report_all_sent();
+        this->execute(this->call.on_cancelled());
+        return;
+    }
+    if (!this->body_discarded)
+    {
+        this->body.append(bytes);
+        if (this->body.size() > body_buffer_bytes)
+        {
+            // A longer body is not kept, so no other attempt can follow; attempts in progress go on.
+            this->body_discarded = true;
+            this->body = {};
+            this->call.on_body_discarded();
+        }
+    }
+    for (const auto& each : this->slots)
+    {
+        if (each.channel)
+        {
+            each.channel->send_body(bytes);
+        }
+    }
+    this->update_reading();
+}
+
+void call_driver::handle_body_end()
+{
+    this->body_complete = true;
+    for (const auto& each : this->slots)
+    {
+        if (each.channel)
+        {
+            each.channel->finish_request();
+        }
+    }
+}
+
+void call_driver::handle_caller_gone()
+{
+    const auto keep = this->shared_from_this();
+    this->caller_gone = true;
+    this->last_reason = errc::caller_gone;
+    this->report_all_sent();
+    this->execute(this->call.on_cancelled());
+}
+
+void call_driver::handle_failure(attempts::attempt_id id, const attempt_failure& failure)
+{
+    const auto keep = this->shared_from_this();
+    this->last_reason = failure.reason;
+    if (failure.request_sent && !std::exchange(this->slot_of(id).sent_reported, true))
+    {
+        this->push(id, attempts::request_bytes_sent{1});
+    }
+    this->slot_of(id).channel.reset();
+    this->push(id, failure.event);
+}
+
+void call_driver::handle_answer_body(attempts::attempt_id id, std::string_view bytes)
+{
+    if (this->finished || this->call.forwarded() != id)
+    {
+        return;
+    }
+    const auto keep = this->shared_from_this();
+    this->exchange->send_body(bytes);
+    if (!this->finished && this->exchange->pending_bytes() > body_buffer_bytes)
+    {
+        this->slot_of(id).channel->set_reading(false);
+    }
+}
+
+void call_driver::handle_timer()
+{
+    const auto keep = this->shared_from_this();
+    this->report_all_sent();
+    this->processing = true;
+    this->execute(this->call.tick(this->loop->now()));
+    this->processing = false;
+    this->process_events();
+}
+
+void call_driver::push(attempts::attempt_id id, attempts::attempt_event event)
+{
+    this->queue.push_back({id, std::move(event)});
+    this->process_events();
+}
+
+void call_driver::process_events()
+{
+    if (this->processing)
+    {
+        return;
+    }
+    const auto keep = this->shared_from_this();
+    this->processing = true;
+    while (!this->queue.empty())
+    {
+        const auto next = std::move(this->queue.front());
+        this->queue.pop_front();
+        this->execute(this->call.on_event(next.id, next.event, this->loop->now(), *this->random));
+    }
+    this->processing = false;
+    this->schedule_timer();
+}
+
+void call_driver::report_sent(attempts::attempt_id id)
+{
+    auto& target = this->slot_of(id);
+    if (!target.sent_reported && target.channel && target.channel->has_sent_bytes())
+    {
+        target.sent_reported = true;
+        this->push(id, attempts::request_bytes_sent{1});
+    }
+}
+
+void call_driver::report_all_sent()
+{
+    for (attempts::attempt_id id = 0; id < this->slots.size(); ++id)
+    {
+        this->report_sent(id);
+    }
+}
+
+void call_driver::execute(const attempts::call_actions& actions)
+{
+    for (const auto& action : actions)
+    {
+        std::visit(overloaded{[this](const attempts::start_attempt& start) { this->open(start.parameters); },
+                              [this](const attempts::start_hedge& start) { this->open(start.parameters); },
+                              [this](const attempts::cancel_attempt& cancel)
+                              {
+                                  if (const auto channel = std::exchange(this->slot_of(cancel.attempt).channel, {}))
+                                  {
+                                      channel->cancel();
+                                  }
+                              },
+                              [this](const attempts::forward_head& forward) { this->forward_head(forward.attempt); },
+                              [this](const attempts::finish& ending)
+                              {
+                                  this->finish(ending);
+                              }},
+                   action);
+    }
+}
+
+void call_driver::open(const attempts::start_parameters& parameters)
+{
+    auto& target = this->slot_of(parameters.attempt);
+    auto opened = this->events.open(parameters, this->forwarded_request, this->description,
+                                    this->channel_hooks(parameters.attempt));
+    if (!opened)
+    {
+        this->queue.push_back({parameters.attempt, attempts::no_endpoint{}});
+        return;
+    }
+    this->call.on_endpoint_chosen(opened->endpoint);
+    target.channel = std::move(opened->channel);
+    target.channel->send_body(this->body);
+    if (this->body_complete)
+    {
+        target.channel->finish_request();
+    }
+}
+
+void call_driver::forward_head(attempts::attempt_id id)
+{
+    auto head = std::move(*this->slot_of(id).head);
+    detail::prepare_answer(head, this->description);
+    this->head_forwarded = true;
+    this->exchange->send_head(std::move(head));
+}
+
+void call_driver::finish(const attempts::finish& ending)
+{
+    this->finished = true;
+    this->wakeup.cancel();
+    call_result result{ending.outcome, ending.code, 0, this->loop->now() - this->started_at, this->slots.size()};
+    if (this->head_forwarded)
+    {
+        if (ending.outcome == core::outcome::answered)
+        {
+            this->exchange->finish();
+        }
+        else
+        {
+            this->exchange->abort();
+        }
+    }
+    else if (!this->caller_gone)
+    {
+        result.status = this->answer_without_upstream(ending);
+    }
+    const auto on_finished = std::exchange(this->events.on_finished, {});
+    if (on_finished)
+    {
+        on_finished(result);
+    }
+}
+
+int call_driver::answer_without_upstream(const attempts::finish& ending)
+{
+    constexpr int content_too_large = 413;
+    constexpr int bad_gateway = 502;
+    constexpr int service_unavailable = 503;
+    constexpr int gateway_timeout = 504;
+    const auto code = this->body_too_large ? std::error_code{errc::body_too_large}
+                      : this->last_reason  ? this->last_reason
+                                           : ending.code;
+    http::response_head head;
+    const bool timed_out = ending.code == attempts::error::timed_out || code == errc::upstream_timed_out;
+    head.status = this->body_too_large                       ? content_too_large
+                  : ending.outcome == core::outcome::not_run ? service_unavailable
+                  : timed_out                                ? gateway_timeout
+                                                             : bad_gateway;
+    head.fields.add("Content-Type", "application/json");
+    detail::add_outcome(head, ending.outcome, code, this->description.id);
+    const int status = head.status;
+    http::respond(*this->exchange, std::move(head),
+                  detail::make_error_body(ending.outcome, code, this->description.id));
+    return status;
+}
+
+void call_driver::update_reading()
+{
+    const bool is_full =
+        std::ranges::any_of(this->slots, [](const slot& each)
+                            { return each.channel && each.channel->pending_bytes() > body_buffer_bytes; });
+    this->exchange->set_reading(!is_full);
+}
+
+void call_driver::schedule_timer()
+{
+    const auto next = this->call.next_wakeup();
+    if (next && !this->finished)
+    {
+        this->wakeup.schedule(*next - this->loop->now());
+    }
+}
+
+call_driver::slot& call_driver::slot_of(attempts::attempt_id id)
+{
+    if (id >= this->slots.size())
+    {
+        this->slots.resize(id + 1);
+    }
+    return this->slots[id];
+}
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/src/errors.cpp
@@ -0,0 +1,48 @@
+#include "poplarport/node/errors.hpp"
+
+#include <array> // array
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+constexpr std::array<result::code_entry, 11> rows{{
+    {1300, "no_configuration", "The node holds no configuration of the service yet.",
+     "The manifest was not applied, or neither the platform nor a peer can be reached."},
+    {1301, "upstream_unreachable", "The upstream does not accept connections; nothing was sent.",
+     "The upstream's process is down or still starting."},
+    {1302, "upstream_connection_limit", "The upstream's connection limit is reached; nothing was sent.",
+     "Connections are kept by unfinished requests; raise connection_limit or look for slow answers."},
+    {1303, "upstream_shed", "The upstream refused the request before it ran.", "The upstream sheds load or drains."},
+    {1304, "upstream_failed", "The upstream's connection broke after the request was sent.",
+     "The upstream's process was killed or restarted; whether the request ran is not known."},
+    {1305, "upstream_timed_out", "The upstream gave no answer before the deadline.",
+     "The upstream is overloaded or frozen; whether the request ran is not known."},
+    {1306, "body_too_large", "The request's body is larger than the limit of the service.",
+     "Send a smaller body, or raise body_limit_bytes in the manifest."},
+    {1307, "unknown_peer", "The peer did not show the cluster's key.",
+     "The nodes have different cluster secrets, or a caller connected to the peer port."},
+    {1308, "service_not_served", "The node beside this upstream serves another service.",
+     "The sender's list of members is out of date."},
+    {1309, "caller_gone", "The caller closed its connection before the answer was complete.",
+     "The caller gave up or was stopped."},
+    {1310, "malformed_deadline", "Poplar-Deadline-Ms is not a whole number of milliseconds above zero.",
+     "Correct the field or leave it out."},
+}};
+
+} // namespace
+
+const result::table_category& category() noexcept
+{
+    static const result::table_category instance{"node", rows};
+    return instance;
+}
+
+std::error_code make_error_code(errc value) noexcept
+{
+    return {static_cast<int>(value), category()};
+}
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/src/local_channel.cpp
@@ -0,0 +1,268 @@
+#include "poplarport/node/detail/local_channel.hpp"
+
+#include <utility> // exchange, move
+#include <variant> // holds_alternative
+
+#include "poplarport/node/detail/forwarding.hpp"
+#include "poplarport/node/errors.hpp"
+
+namespace poplarport::node::detail
+{
+
+local_channel::local_channel(receiver& receiving, std::string id, http::request_head request, received_call received,
+                             hooks values)
+    : owner(&receiving), ticket(std::move(id)), head(std::move(request)), call(std::move(received)),
+      events(std::make_shared<hooks>(std::move(values))),
+      deadline_timer(*receiving.loop, [this] { this->handle_deadline(); })
+{
+    this->deadline_timer.schedule(this->call.deadline - receiving.loop->now());
+}
+
+void local_channel::dispatch()
+{
+    if (this->current != state::waiting)
+    {
+        return;
+    }
+    const auto keep = this->shared_from_this();
+    const auto now = this->owner->loop->now();
+    if (now >= this->call.deadline)
+    {
+        this->fail(attempts::refused{attempts::refusal_proof::admission_refused, {}},
+                   admission::errors::deadline_passed);
+        return;
+    }
+    this->connection = this->owner->pool->acquire();
+    if (!this->connection)
+    {
+        this->fail(attempts::refused{attempts::refusal_proof::upstream_untouched, this->owner->events.better_peers()},
+                   errc::upstream_connection_limit);
+        return;
+    }
+    ++this->owner->counted.dispatched;
+    this->current = state::dispatched;
+    this->dispatched_at = now;
+    add_upstream_fields(this->head, this->call, now);
+    this->connection->start(this->head, this->connection_hooks());
+    this->connection->send_body(std::exchange(this->buffered, {}));
+    if (this->request_finished)
+    {
+        this->connection->finish_request();
+    }
+    else if (this->events->on_writable)
+    {
+        const auto running = this->events;
+        running->on_writable();
+    }
+}
+
+http::client_connection::hooks local_channel::connection_hooks()
+{
+    // The connection is owned by this channel, so its hooks do not outlive it.
+    return {.on_interim =
+                [this](const http::response_head& interim)
+            {
+                if (this->events->on_interim)
+                {
+                    this->events->on_interim(interim);
+                }
+            },
+            .on_head = [this](http::response_head& answer) { this->handle_head(answer); },
+            .on_body =
+                [this](std::string_view bytes)
+            {
+                const auto running = this->events;
+                if (!this->is_shed && running->on_body)
+                {
+                    running->on_body(bytes);
+                }
+            },
+            .on_end = [this] { this->handle_end(); },
+            .on_writable =
+                [this]
+            {
+                const auto running = this->events;
+                if (running->on_writable)
+                {
+                    running->on_writable();
+                }
+            },
+            .on_failed =
+                [this](const http::client_failure& failure)
+            {
+                this->handle_failure(failure);
+            }};
+}
+
+void local_channel::handle_head(http::response_head& answer)
+{
+    constexpr int service_unavailable = 503;
+    const auto* const not_run = answer.fields.find("Poplar-Not-Run");
+    if (answer.status == service_unavailable && not_run != nullptr && *not_run == "true")
+    {
+        this->is_shed = true;
+        return;
+    }
+    this->current = state::answering;
+    const auto running = this->events;
+    if (running->on_head)
+    {
+        running->on_head(answer, this->context());
+    }
+}
+
+void local_channel::handle_end()
+{
+    const auto keep = this->shared_from_this();
+    if (this->is_shed)
+    {
+        this->close_connection(true);
+        this->fail(attempts::refused{attempts::refusal_proof::upstream_shed, this->owner->events.better_peers()},
+                   errc::upstream_shed);
+        return;
+    }
+    this->current = state::ended;
+    this->deadline_timer.cancel();
+    this->close_connection(true);
+    ++this->owner->counted.answered;
+    this->owner->end(this->ticket, this->owner->loop->now() - this->dispatched_at);
+    const auto running = std::exchange(this->events, std::make_shared<hooks>());
+    if (running->on_end)
+    {
+        running->on_end(this->context());
+    }
+}
+
+void local_channel::handle_failure(const http::client_failure& failure)
+{
+    const auto keep = this->shared_from_this();
+    this->close_connection(false);
+    if (!failure.bytes_sent)
+    {
+        this->fail(attempts::refused{attempts::refusal_proof::upstream_untouched, this->owner->events.better_peers()},
+                   errc::upstream_unreachable);
+        return;
+    }
+    this->fail(attempts::unknown_reported{}, errc::upstream_failed);
+}
+
+void local_channel::handle_deadline()
+{
+    const auto keep = this->shared_from_this();
+    if (this->current == state::waiting)
+    {
+        this->fail(attempts::refused{attempts::refusal_proof::admission_refused, {}},
+                   admission::errors::deadline_passed);
+        return;
+    }
+    const bool sent = this->has_sent_bytes();
+    this->close_connection(false);
+    if (!sent)
+    {
+        this->fail(attempts::refused{attempts::refusal_proof::upstream_untouched, {}}, errc::upstream_unreachable);
+        return;
+    }
+    this->fail(attempts::unknown_reported{}, errc::upstream_timed_out);
+}
+
+void local_channel::refuse(std::error_code reason)
+{
+    const auto keep = this->shared_from_this();
+    this->fail(attempts::refused{attempts::refusal_proof::admission_refused, this->owner->events.better_peers()},
+               reason);
+}
+
+void local_channel::fail(attempts::attempt_event event, std::error_code reason)
+{
+    if (this->current == state::ended)
+    {
+        return;
+    }
+    this->current = state::ended;
+    this->deadline_timer.cancel();
+    ++this->owner->counted.failed;
+    this->owner->end(this->ticket, std::nullopt);
+    const auto running = std::exchange(this->events, std::make_shared<hooks>());
+    if (running->on_failed)
+    {
+        const bool untouched = std::holds_alternative<attempts::refused>(event);
+        running->on_failed({std::move(event), reason, !untouched, this->context()});
+    }
+}
+
+void local_channel::close_connection(bool reusable)
+{
+    const auto closing = std::exchange(this->connection, nullptr);
+    if (!closing)
+    {
+        return;
+    }
+    if (!reusable)
+    {
+        closing->abort();
+    }
+    this->owner->pool->release(closing);
+}
+
+void local_channel::send_body(std::string_view bytes)
+{
+    if (this->current == state::ended)
+    {
+        return;
+    }
+    if (this->connection)
+    {
+        this->connection->send_body(bytes);
+        return;
+    }
+    this->buffered.append(bytes);
+}
+
+void local_channel::finish_request()
+{
+    this->request_finished = true;
+    if (this->connection)
+    {
+        this->connection->finish_request();
+    }
+}
+
+void local_channel::set_reading(bool enabled)
+{
+    if (this->connection)
+    {
+        this->connection->set_reading(enabled);
+    }
+}
+
+void local_channel::cancel()
+{
+    if (this->current == state::ended)
+    {
+        return;
+    }
+    const auto keep = this->shared_from_this();
+    this->current = state::ended;
+    this->deadline_timer.cancel();
+    this->events = std::make_shared<hooks>();
+    this->close_connection(false);
+    ++this->owner->counted.cancelled;
+    this->owner->end(this->ticket, std::nullopt);
+}
+
+std::size_t local_channel::pending_bytes() const noexcept
+{
+    return this->connection ? this->connection->pending_bytes() : this->buffered.size();
+}
+
+bool local_channel::has_sent_bytes() const noexcept
+{
+    return this->connection && this->connection->has_sent_bytes();
+}
+
+answer_context local_channel::context() const
+{
+    return {this->owner->load(), 0};
+}
+
+} // namespace poplarport::node::detail
--- /dev/null
+++ b/libs/node/src/receiver.cpp
@@ -0,0 +1,191 @@
+#include "poplarport/node/receiver.hpp"
+
+#include <algorithm> // max
+#include <chrono>    // milliseconds
+#include <utility>   // move
+
+#include "poplarport/node/detail/local_channel.hpp"
+#include "poplarport/node/errors.hpp"
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+// Queued requests are checked at least this often, so that one whose deadline cannot be met is refused early.
+constexpr std::chrono::milliseconds expiry_interval{10};
+
+admission::limits to_limits(const manifest::service& rules)
+{
+    admission::limits value;
+    value.slots = std::max(rules.upstream.slots, 1U);
+    value.queue_capacity = rules.upstream.queue_length;
+    for (const auto& tenant : rules.tenants)
+    {
+        value.tenant_weights.insert_or_assign(tenant.tenant, static_cast<double>(std::max(tenant.share_weight, 1U)));
+    }
+    for (const auto& traffic_class : rules.classes)
+    {
+        value.class_weights.insert_or_assign(traffic_class.name,
+                                             static_cast<double>(std::max(traffic_class.weight, 1U)));
+    }
+    return value;
+}
+
+std::unique_ptr<http::client_pool> make_pool(net::event_loop& loop, const core::socket_address& address,
+                                             std::uint32_t connections)
+{
+    http::client_pool::limits values;
+    values.connections = connections;
+    return std::make_unique<http::client_pool>(loop, address, values);
+}
+
+} // namespace
+
+receiver::receiver(net::event_loop& owner, core::socket_address upstream, const manifest::service& rules, hooks values)
+    : loop(&owner), events(std::move(values)), pool(make_pool(owner, upstream, rules.upstream.connection_limit)),
+      upstream_address(std::move(upstream)), connection_limit(rules.upstream.connection_limit),
+      gate(admission::gate::builder{}
+               .slots(std::max(rules.upstream.slots, 1U))
+               .queue_capacity(rules.upstream.queue_length)
+               .cold_start_ramp(rules.upstream.cold_start_ramp)
+               .build(owner.now())),
+      expiry_timer(owner,
+                   [this]
+                   {
+                       this->act_on(this->gate.expire(this->loop->now()));
+                       this->schedule_expiry();
+                   })
+{
+    this->act_on(this->gate.set_limits(to_limits(rules), owner.now()));
+}
+
+receiver::~receiver() = default;
+
+std::shared_ptr<attempt_channel> receiver::start(http::request_head head, received_call call,
+                                                 attempt_channel::hooks values)
+{
+    const auto ticket = call.id + "/" + std::to_string(++this->last_ticket);
+    const admission::ticket offered{ticket, call.tenant, call.traffic_class, call.deadline, call.wait_elsewhere};
+    auto channel =
+        std::make_shared<detail::local_channel>(*this, ticket, std::move(head), std::move(call), std::move(values));
+    this->channels.emplace(ticket, channel);
+    const auto decision = this->gate.offer(offered, this->loop->now());
+    if (decision.displaced)
+    {
+        this->refuse(decision.displaced->id, decision.displaced->reason);
+    }
+    switch (decision.what)
+    {
+    case admission::action::admit:
+        ++this->counted.admitted;
+        // Hooks may not run inside this function, and a failed dispatch ends in a hook.
+        this->loop->post([channel] { channel->dispatch(); });
+        break;
+    case admission::action::queue:
+        ++this->counted.queued;
+        this->schedule_expiry();
+        break;
+    case admission::action::refuse:
+        this->loop->post([this, ticket, reason = decision.reason] { this->refuse(ticket, reason); });
+        break;
+    }
+    return channel;
+}
+
+void receiver::apply(const manifest::service& rules)
+{
+    if (rules.upstream.connection_limit != this->connection_limit)
+    {
+        this->connection_limit = rules.upstream.connection_limit;
+        this->pool->set_connection_limit(this->connection_limit);
+    }
+    this->act_on(this->gate.set_limits(to_limits(rules), this->loop->now()));
+}
+
+void receiver::drain()
+{
+    this->draining = true;
+    this->act_on(this->gate.drain());
+    if (this->is_idle() && this->events.on_idle)
+    {
+        this->events.on_idle();
+    }
+}
+
+core::load_report receiver::load() const
+{
+    auto report = this->gate.load(this->loop->now());
+    report.draining = this->draining;
+    return report;
+}
+
+void receiver::act_on(const admission::changes& result)
+{
+    for (const auto& refusal : result.refused)
+    {
+        this->refuse(refusal.id, refusal.reason);
+    }
+    for (const auto& ticket : result.started)
+    {
+        const auto position = this->channels.find(ticket);
+        if (position != this->channels.end())
+        {
+            const auto channel = position->second;
+            this->loop->post([channel] { channel->dispatch(); });
+        }
+    }
+}
+
+void receiver::refuse(const std::string& ticket, std::error_code reason)
+{
+    const auto position = this->channels.find(ticket);
+    if (position == this->channels.end())
+    {
+        return;
+    }
+    ++this->counted.refused;
+    const auto channel = position->second;
+    this->channels.erase(position);
+    channel->refuse(reason);
+    if (this->draining && this->is_idle() && this->events.on_idle)
+    {
+        this->events.on_idle();
+    }
+}
+
+void receiver::end(const std::string& ticket, std::optional<core::duration> service_time)
+{
+    if (this->channels.erase(ticket) == 0)
+    {
+        return;
+    }
+    const auto now = this->loop->now();
+    const auto result = service_time ? this->gate.release(ticket, *service_time, now) : this->gate.cancel(ticket, now);
+    const bool has_spare_slot = result.started.empty();
+    this->act_on(result);
+    if (this->draining && this->is_idle() && this->events.on_idle)
+    {
+        this->events.on_idle();
+    }
+    else if (has_spare_slot && !this->draining && this->events.on_slot_free)
+    {
+        this->events.on_slot_free();
+    }
+}
+
+void receiver::schedule_expiry()
+{
+    const auto next = this->gate.next_deadline();
+    if (!next)
+    {
+        return;
+    }
+    if (!this->expiry_timer.is_scheduled())
+    {
+        this->expiry_timer.schedule(std::min<core::duration>(expiry_interval, *next - this->loop->now()));
+    }
+}
+
+} // namespace poplarport::node
