Make event_loop::stop return at once when a posted function calls it

Cause: poplar-load ended 10 s after its last call. libwebsockets runs posted functions before it waits for events, so a stop from one of them took effect only after the next event or timer, here the expiry that a cancelled timer had set. Ruled out: a check between post and wait in our code; lws_service does both. Change: stop() interrupts the wait with lws_cancel_service. Conclusion: programs end with their last event.

--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -148,6 +148,8 @@
 void event_loop::stop() noexcept
 {
     this->data->running = false;
+    // libwebsockets runs posted functions before it waits, and would wait for the next event before it returns.
+    lws_cancel_service(this->data->context);
 }
 
 void event_loop::post(std::function<void()> work)
--- a/libs/net/tests/unit-sockets.cpp
+++ b/libs/net/tests/unit-sockets.cpp
@@ -176,3 +176,22 @@
     LONGS_EQUAL(1, order[0]);
     LONGS_EQUAL(2, order[1]);
 }
+
+// Guards against a loop that, stopped by a posted function, waits for its next event or timer before it returns.
+TEST(sockets, stop_in_posted_function_returns_before_the_next_timer)
+{
+    net::event_loop loop;
+    bool waited = false;
+    net::timer next{loop, [&]
+                    {
+                        waited = true;
+                    }};
+    next.schedule(2s);
+    net::timer first{loop, [&loop]
+                     {
+                         loop.post([&loop] { loop.stop(); });
+                     }};
+    first.schedule(1ms);
+    loop.run();
+    CHECK(!waited);
+}
