Add the load tool: open-loop calls, ledger, report and the verdict over ledgers

Cause: the invariants have to be checked from outside, by a tool that knows each call's fate on both sides. Ruled out: a ledger with one line per call at its end; a call whose load tool was killed would be missing instead of lost. Closed-loop load; it hides waiting time. Change: load::runner makes calls at scheduled times over keep-alive connections with a limit, never repeats one, and compares each answer byte by byte. Plans come from options or a TOML file with phases, tenants and kinds of calls. Reports are text, JSON with histograms and an SVG plot. `poplar-load join` prints the verdict. Conclusion: nodes can be tested for lost, doubled, crossed and falsely refused calls.

--- /dev/null
+++ b/libs/load/include/poplarport/load/schedule.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <optional> // optional
+#include <random>   // mt19937_64
+#include <vector>   // vector
+
+#include "poplarport/core/time.hpp"
+#include "poplarport/load/plan.hpp"
+
+namespace poplarport::load
+{
+
+/// @brief A planned arrival.
+struct arrival
+{
+    core::duration offset{}; ///< from the start of the run
+    std::size_t phase{0};    ///< index of the phase
+};
+
+/// @brief Generates the arrivals of all phases; the same seed gives the same arrivals.
+class schedule
+{
+  public:
+    /// @param[in] phases phases in their order
+    /// @param[in] seed   seed of the gaps
+    schedule(std::vector<phase> phases, std::uint64_t seed);
+
+    /// @return the next arrival, or nothing after the last phase
+    [[nodiscard]] std::optional<arrival> next();
+
+  private:
+    std::vector<phase> phases;
+    std::mt19937_64 random;
+    std::size_t current{0};
+    double phase_start_s{0.0};
+    double position_s{0.0}; ///< within the current phase
+};
+
+} // namespace poplarport::load
--- /dev/null
+++ b/libs/load/src/report.cpp
@@ -0,0 +1,214 @@
+#include "poplarport/load/report.hpp"
+
+#include <algorithm> // sort
+#include <cmath>     // ceil, exp2, log2
+#include <iomanip>   // fixed, setprecision, setw
+#include <map>       // map
+#include <sstream>   // ostringstream
+
+#include <nlohmann/json.hpp>
+
+#include "poplarport/load/percentiles.hpp"
+
+namespace poplarport::load
+{
+
+namespace
+{
+
+using std::chrono::microseconds;
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+constexpr double median = 0.5;
+constexpr double tail = 0.99;
+
+struct named_share
+{
+    const char* name;
+    double share;
+};
+
+constexpr named_share shown_percentiles[]{{"p50", median}, {"p90", 0.9}, {"p99", tail}, {"p99.9", 0.999}, {"max", 1.0}};
+
+void add_sample(group_summary& group, const call_sample& sample)
+{
+    group.answered += sample.outcome == call_outcome::answered ? 1 : 0;
+    group.not_run += sample.outcome == call_outcome::not_run ? 1 : 0;
+    group.unknown += sample.outcome == call_outcome::unknown ? 1 : 0;
+    group.refused += sample.outcome == call_outcome::refused ? 1 : 0;
+    group.body_mismatches += sample.body_mismatch ? 1 : 0;
+    if (sample.outcome == call_outcome::answered)
+    {
+        group.latencies.push_back(sample.latency);
+    }
+}
+
+std::vector<second_summary> summarise_seconds(const std::vector<call_sample>& samples)
+{
+    std::map<std::size_t, group_summary> seconds;
+    for (const auto& sample : samples)
+    {
+        const auto second = std::chrono::duration_cast<std::chrono::seconds>(sample.offset).count();
+        add_sample(seconds[static_cast<std::size_t>(second)], sample);
+    }
+    std::vector<second_summary> result;
+    for (auto& [second, group] : seconds)
+    {
+        std::sort(group.latencies.begin(), group.latencies.end());
+        result.push_back({second, group.calls(), group.answered, percentile(group.latencies, median),
+                          percentile(group.latencies, tail)});
+    }
+    return result;
+}
+
+double to_ms(microseconds value)
+{
+    return milliseconds_f{value}.count();
+}
+
+std::string label_of(const group_summary& group)
+{
+    std::string label = group.tenant.empty() ? group.phase : group.tenant + " " + group.kind;
+    return label.empty() ? "total" : label;
+}
+
+void write_row(std::ostringstream& text, const group_summary& group)
+{
+    constexpr int label_width = 32;
+    constexpr int count_width = 9;
+    text << std::left << std::setw(label_width) << label_of(group) << std::right;
+    for (const auto count :
+         {group.calls(), group.answered, group.not_run, group.unknown, group.refused, group.body_mismatches})
+    {
+        text << std::setw(count_width) << count;
+    }
+    for (const auto& shown : shown_percentiles)
+    {
+        text << std::setw(count_width) << to_ms(percentile(group.latencies, shown.share));
+    }
+    text << '\n';
+}
+
+nlohmann::json to_object(const group_summary& group)
+{
+    nlohmann::json percentiles = nlohmann::json::object();
+    for (const auto& shown : shown_percentiles)
+    {
+        percentiles[shown.name] = to_ms(percentile(group.latencies, shown.share));
+    }
+    nlohmann::json buckets = nlohmann::json::array();
+    for (const auto& bucket : histogram(group.latencies))
+    {
+        buckets.push_back({{"upper_ms", to_ms(bucket.upper)}, {"count", bucket.count}});
+    }
+    return {{"tenant", group.tenant},    {"call", group.kind},         {"phase", group.phase},
+            {"calls", group.calls()},    {"answered", group.answered}, {"not_run", group.not_run},
+            {"unknown", group.unknown},  {"refused", group.refused},   {"body_mismatches", group.body_mismatches},
+            {"latency_ms", percentiles}, {"histogram", buckets}};
+}
+
+} // namespace
+
+report summarise(const plan& values, const std::vector<call_sample>& samples)
+{
+    report result;
+    result.name = values.name;
+    for (const auto& item : values.phases)
+    {
+        result.phases.push_back({.phase = item.name});
+    }
+    for (const auto& sender : values.tenants)
+    {
+        for (const auto& kind : values.calls)
+        {
+            result.groups.push_back({.tenant = sender.name, .kind = kind.name()});
+        }
+    }
+    for (const auto& sample : samples)
+    {
+        add_sample(result.total, sample);
+        add_sample(result.phases[sample.phase], sample);
+        add_sample(result.groups[sample.tenant * values.calls.size() + sample.kind], sample);
+    }
+    const auto sort_latencies = [](group_summary& group)
+    {
+        std::sort(group.latencies.begin(), group.latencies.end());
+    };
+    sort_latencies(result.total);
+    std::for_each(result.phases.begin(), result.phases.end(), sort_latencies);
+    std::for_each(result.groups.begin(), result.groups.end(), sort_latencies);
+    result.seconds = summarise_seconds(samples);
+    return result;
+}
+
+std::vector<histogram_bucket> histogram(const std::vector<microseconds>& sorted)
+{
+    constexpr double buckets_per_doubling = 4.0;
+    std::vector<histogram_bucket> result;
+    for (const auto value : sorted)
+    {
+        const auto us = static_cast<double>(std::max<microseconds::rep>(value.count(), 1));
+        if (result.empty() || value > result.back().upper)
+        {
+            const auto index = std::ceil(std::log2(us) * buckets_per_doubling);
+            const auto upper = std::max(std::floor(std::exp2(index / buckets_per_doubling)), us);
+            result.push_back({microseconds{static_cast<microseconds::rep>(upper)}, 0});
+        }
+        ++result.back().count;
+    }
+    return result;
+}
+
+std::string to_text(const report& values)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2);
+    text << "run " << values.name << "; latencies of answered calls in ms, from the scheduled time\n";
+    text << "group                               calls answered  not_run  unknown  refused mismatch"
+            "      p50      p90      p99    p99.9      max\n";
+    write_row(text, values.total);
+    if (values.phases.size() > 1)
+    {
+        for (const auto& group : values.phases)
+        {
+            write_row(text, group);
+        }
+    }
+    for (const auto& group : values.groups)
+    {
+        write_row(text, group);
+    }
+    return text.str();
+}
+
+std::string to_json(const report& values)
+{
+    nlohmann::json phases = nlohmann::json::array();
+    for (const auto& group : values.phases)
+    {
+        phases.push_back(to_object(group));
+    }
+    nlohmann::json groups = nlohmann::json::array();
+    for (const auto& group : values.groups)
+    {
+        groups.push_back(to_object(group));
+    }
+    nlohmann::json seconds = nlohmann::json::array();
+    for (const auto& entry : values.seconds)
+    {
+        seconds.push_back({{"second", entry.second},
+                           {"calls", entry.calls},
+                           {"answered", entry.answered},
+                           {"p50_ms", to_ms(entry.p50)},
+                           {"p99_ms", to_ms(entry.p99)}});
+    }
+    const nlohmann::json object{{"name", values.name},
+                                {"total", to_object(values.total)},
+                                {"phases", phases},
+                                {"groups", groups},
+                                {"seconds", seconds}};
+    constexpr int indent = 2;
+    return object.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+} // namespace poplarport::load
--- /dev/null
+++ b/libs/load/src/report_svg.cpp
@@ -0,0 +1,196 @@
+#include <algorithm> // max
+#include <cmath>     // ceil, floor, log10, pow
+#include <iomanip>   // fixed, setprecision
+#include <sstream>   // ostringstream
+
+#include "poplarport/load/percentiles.hpp"
+#include "poplarport/load/report.hpp"
+
+namespace poplarport::load
+{
+
+namespace
+{
+
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+constexpr double panel_width = 720.0;
+constexpr double panel_height = 240.0;
+constexpr double margin_left = 70.0;
+constexpr double margin_top = 50.0;
+constexpr double panel_gap = 90.0;
+constexpr double margin_right = 30.0;
+
+double to_ms(std::chrono::microseconds value)
+{
+    return milliseconds_f{value}.count();
+}
+
+struct point
+{
+    double x;
+    double y;
+};
+
+// Latency axis of both panels: logarithmic, from the decade below the least to the decade above the greatest value.
+class latency_axis
+{
+  public:
+    explicit latency_axis(const std::vector<double>& values_ms)
+    {
+        constexpr double shortest_ms = 0.01;
+        double least = 1e9;
+        double greatest = shortest_ms;
+        for (const double value : values_ms)
+        {
+            least = std::min(least, std::max(value, shortest_ms));
+            greatest = std::max(greatest, value);
+        }
+        this->low = std::floor(std::log10(std::min(least, greatest)));
+        this->high = std::max(std::ceil(std::log10(greatest)), this->low + 1.0);
+    }
+
+    [[nodiscard]] double position(double value_ms) const
+    {
+        const double exponent = std::log10(std::max(value_ms, std::pow(10.0, this->low)));
+        return panel_height * (1.0 - (exponent - this->low) / (this->high - this->low));
+    }
+
+    void draw(std::ostringstream& svg) const
+    {
+        for (double exponent = this->low; exponent <= this->high; exponent += 1.0)
+        {
+            const double value = std::pow(10.0, exponent);
+            const double y = this->position(value);
+            svg << "<line class='grid' x1='0' y1='" << y << "' x2='" << panel_width << "' y2='" << y << "'/>"
+                << "<text class='left' x='-8' y='" << y + 4.0 << "'>" << std::defaultfloat << value << std::fixed
+                << " ms</text>\n";
+        }
+    }
+
+  private:
+    double low{0.0};
+    double high{1.0};
+};
+
+void draw_line(std::ostringstream& svg, const char* style, const std::vector<point>& points)
+{
+    svg << "<polyline class='" << style << "' points='";
+    for (const auto& item : points)
+    {
+        svg << item.x << ',' << item.y << ' ';
+    }
+    svg << "'/>\n";
+}
+
+void draw_percentiles(std::ostringstream& svg, const report& values, const latency_axis& axis)
+{
+    // The horizontal axis shows the number of nines: 0, 90, 99, 99.9 and 99.99 per cent.
+    constexpr double nines = 4.0;
+    constexpr int steps = 200;
+    std::vector<point> points;
+    for (int step = 0; step <= steps; ++step)
+    {
+        const double position = nines * step / steps;
+        const double share = 1.0 - std::pow(10.0, -position);
+        const double latency = to_ms(percentile(values.total.latencies, share));
+        points.push_back({panel_width * position / nines, axis.position(latency)});
+    }
+    const char* const labels[]{"0 %", "90 %", "99 %", "99.9 %", "99.99 %"};
+    for (int index = 0; index <= static_cast<int>(nines); ++index)
+    {
+        svg << "<text class='below' x='" << panel_width * index / nines << "' y='" << panel_height + 20.0 << "'>"
+            << labels[index] << "</text>\n";
+    }
+    draw_line(svg, "p99", points);
+}
+
+void draw_time_line(std::ostringstream& svg, const report& values, const latency_axis& axis)
+{
+    const double last = values.seconds.empty() ? 1.0 : std::max<double>(values.seconds.back().second, 1.0);
+    std::vector<point> medians;
+    std::vector<point> tails;
+    for (const auto& entry : values.seconds)
+    {
+        if (entry.answered == 0)
+        {
+            continue;
+        }
+        const double x = panel_width * static_cast<double>(entry.second) / last;
+        medians.push_back({x, axis.position(to_ms(entry.p50))});
+        tails.push_back({x, axis.position(to_ms(entry.p99))});
+    }
+    draw_line(svg, "p50", medians);
+    draw_line(svg, "p99", tails);
+    svg << "<text class='below' x='0' y='" << panel_height + 20.0 << "'>0 s</text>\n"
+        << "<text class='below' x='" << panel_width << "' y='" << panel_height + 20.0 << "'>" << last << " s</text>\n"
+        << "<text class='name50' x='" << panel_width - 90.0 << "' y='-8'>p50</text>\n"
+        << "<text class='name99' x='" << panel_width - 40.0 << "' y='-8'>p99</text>\n";
+}
+
+void begin_panel(std::ostringstream& svg, double top, const char* title, const latency_axis& axis)
+{
+    svg << "<g transform='translate(" << margin_left << ',' << top << ")'>\n"
+        << "<text x='0' y='-8'>" << title << "</text>\n";
+    axis.draw(svg);
+}
+
+// Texts of the settings may hold characters that are special in XML.
+std::string escape(const std::string& text)
+{
+    std::string result;
+    for (const char character : text)
+    {
+        switch (character)
+        {
+        case '&':
+            result += "&amp;";
+            break;
+        case '<':
+            result += "&lt;";
+            break;
+        case '>':
+            result += "&gt;";
+            break;
+        default:
+            result += character;
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+std::string to_svg(const report& values)
+{
+    std::vector<double> shown;
+    for (const auto& entry : values.seconds)
+    {
+        shown.push_back(to_ms(entry.p50));
+    }
+    constexpr double highest_share = 0.9999;
+    shown.push_back(to_ms(percentile(values.total.latencies, 0.0)));
+    shown.push_back(to_ms(percentile(values.total.latencies, highest_share)));
+    shown.push_back(values.total.latencies.empty() ? 0.0 : to_ms(values.total.latencies.back()));
+    const latency_axis axis{shown};
+    const double width = margin_left + panel_width + margin_right;
+    const double height = margin_top + 2.0 * panel_height + panel_gap + 40.0;
+    std::ostringstream svg;
+    svg << std::fixed << std::setprecision(1);
+    svg << "<svg xmlns='http://www.w3.org/2000/svg' width='" << width << "' height='" << height << "'>\n"
+        << "<style>text{font:12px sans-serif}.left{text-anchor:end}.below{text-anchor:middle}"
+           ".grid{stroke:#ddd}polyline{fill:none;stroke-width:1.5}.p50{stroke:#26734d}.p99{stroke:#b3261e}"
+           ".name50{fill:#26734d}.name99{fill:#b3261e}</style>\n"
+        << "<rect width='100%' height='100%' fill='white'/>\n"
+        << "<text x='" << margin_left << "' y='18'>" << escape(values.name) << ": " << values.total.calls()
+        << " calls, " << values.total.answered << " answered</text>\n";
+    begin_panel(svg, margin_top, "latency by percentile", axis);
+    draw_percentiles(svg, values, axis);
+    svg << "</g>\n";
+    begin_panel(svg, margin_top + panel_height + panel_gap, "latency by scheduled second", axis);
+    draw_time_line(svg, values, axis);
+    svg << "</g>\n</svg>\n";
+    return svg.str();
+}
+
+} // namespace poplarport::load
