bench: compare routing and admission policies on fakes under a fake clock

Cause: the policies need a measurement against simple baselines and a lower limit before they carry calls. Ruled out: a cluster simulator; the fakes are slots, exponential service times, travel between zones and reports that lag. A failed call counts in the percentiles with its deadline or more, so that refusing cannot look fast. Change: bench/policy with bench_policy and the target bench-policy: random, round robin, least of two, a central queue that knows every service time, and the router with the gate, on the same arrivals and seeds.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,7 @@
 
 clean:
 	rm -rf build build-asan out
+
+.PHONY: bench-policy
+bench-policy: build ## Compares routing and admission policies on fakes under a fake clock.
+	$(BUILD)/bin/bench_policy
