routing: let the load of an outdated report tend to the mean of the endpoints

Cause: the reported load was discounted to zero, so an endpoint with an old report looked idle, and receivers redirected calls to it. Ruled out: a longer half-life alone; it keeps a wrong report in force longer. Change: others' load = confidence x reported + (1 - confidence) x mean of the newest reports, per slot; confidence halves with each half-life of age.

--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -44,8 +44,8 @@
 ///
 /// The score of an endpoint is its expected load with this call, divided by its slots, times its service time, plus the
 /// travel to its zone. Expected load is the own calls in flight plus what others contributed to the newest load report,
-/// discounted by the report's age. Calls that end must be reported by exactly one of `on_answer`, `on_refused`,
-/// `on_failed` and `on_cancelled`. Events of unknown endpoints are ignored.
+/// which tends to the mean of all endpoints as the report ages. Calls that end must be reported by exactly one of
+/// `on_answer`, `on_refused`, `on_failed` and `on_cancelled`. Events of unknown endpoints are ignored.
 class router
 {
   public:
@@ -133,6 +133,7 @@
     [[nodiscard]] state& best_candidate(core::time_point now, std::mt19937_64& random);
     [[nodiscard]] state* due_trial(core::time_point now);
     void take_report(state& value, const core::load_report& report, core::time_point now);
+    void update_typical_load() noexcept;
     void update_mark(state& value, core::time_point now);
     void end_trial(state& value, core::duration latency, core::time_point now);
     [[nodiscard]] double straggler_factor() const noexcept;
@@ -142,7 +143,8 @@
     [[nodiscard]] double median(measure of);
 
     router_settings settings;
-    double preference; // of tail latency, from 0 to 1
+    double preference;        // of tail latency, from 0 to 1
+    double typical_load{0.0}; // of other senders, per slot, mean of the newest reports
     bool has_list{false};
     std::vector<state> states; // sorted by id
     std::vector<state*> candidates;
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -24,6 +24,13 @@
 
 constexpr std::uint32_t greatest_failure_doublings = 6;
 
+// Returns the load in the newest report that other senders caused.
+double others_of(const detail::endpoint_state& value)
+{
+    const double reported = static_cast<double>(value.report.in_flight) + value.report.queued;
+    return std::max(0.0, reported - value.own_at_report);
+}
+
 bool was_tried(const pick_request& request, const endpoint& value)
 {
     return std::ranges::find(request.tried, value.id) != request.tried.end();
@@ -257,6 +264,7 @@
         found->report.queued = 0;
         found->reported_at = now;
         found->own_at_report = found->in_flight();
+        this->update_typical_load();
     }
 }
 
@@ -319,11 +327,11 @@
 
 double router::load_of(const state& value, core::time_point now) const noexcept
 {
-    const double own = value.in_flight();
-    const double reported = static_cast<double>(value.report.in_flight) + value.report.queued;
-    const double others = std::max(0.0, reported - value.own_at_report);
     const double age = in_nanoseconds(now - value.reported_at) / in_nanoseconds(this->settings.report_half_life);
-    return own + (value.report.slots > 0 ? others * std::exp2(-std::max(0.0, age)) : 0.0);
+    const double confidence = value.report.slots > 0 ? std::exp2(-std::max(0.0, age)) : 0.0;
+    // An outdated report says as much as the other endpoints' reports: its load tends to the mean, not to zero.
+    const double typical = this->typical_load * this->slots_of(value, now);
+    return value.in_flight() + confidence * others_of(value) + (1.0 - confidence) * typical;
 }
 
 double router::score_of(const state& value, core::time_point now) const noexcept
@@ -403,6 +411,20 @@
     value.reported_at = now;
     value.own_at_report = value.in_flight();
     value.is_draining = value.is_draining || report.draining;
+    this->update_typical_load();
+}
+
+void router::update_typical_load() noexcept
+{
+    double sum = 0.0;
+    double count = 0.0;
+    for (const state& item : this->states)
+    {
+        const bool is_usable = item.report.slots > 0 && !item.is_draining;
+        sum += is_usable ? others_of(item) / item.report.slots : 0.0;
+        count += is_usable ? 1.0 : 0.0;
+    }
+    this->typical_load = count > 0.0 ? sum / count : 0.0;
 }
 
 } // namespace poplarport::routing
