--- /dev/null
+++ b/libs/configuration/tests/property.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint> // uint64_t
+#include <sstream> // ostringstream
+#include <utility> // forward
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+/// @brief Checks a rapidcheck property within a CppUTest test, with a fixed seed so that a failure can be repeated.
+/// @param[in] seed      seed of the generated histories
+/// @param[in] histories number of generated histories
+/// @param[in] property  callable that asserts by RC_ASSERT
+template <typename Property>
+void check_property(std::uint64_t seed, int histories, Property&& property)
+{
+    rc::detail::TestParams parameters;
+    parameters.seed = seed;
+    parameters.maxSuccess = histories;
+    const auto result =
+        rc::detail::checkTestable(std::forward<Property>(property), rc::detail::TestMetadata{}, parameters);
+    std::ostringstream text;
+    rc::detail::printResultMessage(result, text);
+    CHECK_TEXT(result.template is<rc::detail::SuccessResult>(), text.str().c_str());
+}
