Let the loop go on at once after a posted function

Cause: posted functions ran as a libwebsockets timer, after which the loop waited for the next event. A stop() in a posted function, or a condition of the loop's owner that a posted function fulfils, took effect only then. Ruled out: lws_cancel_service after each posted function; it costs two system calls. Change: run_once() runs posted functions itself and then polls without waiting. The timer remains for a post() inside libwebsockets' callbacks. Conclusion: the interface is unchanged.

--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -65,21 +65,15 @@
 
 struct event_loop::state
 {
-    // Standard layout, so that the owner can be found from libwebsockets' entry.
-    struct wakeup
-    {
-        lws_sorted_usec_list_t entry;
-        state* owner;
-    };
-
     lws_context* context{nullptr};
     lws_vhost* vhost{nullptr};
     bool running{false};
     core::duration stall{0};
     detail::timer_queue timers{};
     std::unique_ptr<detail::descriptor_watch> timer_watch{};
+    bool in_service{false};
     std::vector<std::function<void()>> posted{};
-    wakeup post_wakeup{{}, this};
+    lws_sorted_usec_list_t post_wakeup{};
 };
 
 namespace
@@ -142,7 +136,16 @@
 
 void event_loop::run_once()
 {
-    lws_service(this->data->context, 0);
+    // libwebsockets does not wait when it is given a negative timeout.
+    constexpr int no_wait_ms = -1;
+    const auto work = std::exchange(this->data->posted, {});
+    for (const auto& item : work)
+    {
+        item();
+    }
+    this->data->in_service = true;
+    lws_service(this->data->context, work.empty() ? 0 : no_wait_ms);
+    this->data->in_service = false;
 }
 
 void event_loop::stop() noexcept
@@ -153,20 +156,13 @@
 void event_loop::post(std::function<void()> work)
 {
     this->data->posted.push_back(std::move(work));
-    if (this->data->posted.size() > 1)
+    if (this->data->in_service && this->data->posted.size() == 1)
     {
-        return;
+        // libwebsockets also runs callbacks before it waits; the wait must then not begin.
+        constexpr lws_usec_t shortest_delay_us = 1;
+        lws_sul_schedule(
+            this->data->context, 0, &this->data->post_wakeup, [](lws_sorted_usec_list_t*) {}, shortest_delay_us);
     }
-    constexpr lws_usec_t shortest_delay_us = 1;
-    const auto run_posted = [](lws_sorted_usec_list_t* entry)
-    {
-        auto* const owner = lws_container_of(entry, state::wakeup, entry)->owner;
-        for (const auto& item : std::exchange(owner->posted, {}))
-        {
-            item();
-        }
-    };
-    lws_sul_schedule(this->data->context, 0, &this->data->post_wakeup.entry, run_posted, shortest_delay_us);
 }
 
 core::time_point event_loop::now() const noexcept
--- a/libs/net/tests/unit-sockets.cpp
+++ b/libs/net/tests/unit-sockets.cpp
@@ -176,3 +176,30 @@
     LONGS_EQUAL(1, order[0]);
     LONGS_EQUAL(2, order[1]);
 }
+
+// Guards against a loop that sleeps after it ran a posted function, so that stop() takes effect only at the next event.
+TEST(sockets, stop_in_a_posted_function_ends_the_loop_without_another_event)
+{
+    net::event_loop loop;
+    bool expired = false;
+    net::timer limit{loop, [&]
+                     {
+                         expired = true;
+                     }};
+    limit.schedule(2s);
+    int steps = 0;
+    loop.post(
+        [&]
+        {
+            ++steps;
+            loop.post(
+                [&]
+                {
+                    ++steps;
+                    loop.stop();
+                });
+        });
+    loop.run();
+    LONGS_EQUAL(2, steps);
+    CHECK_FALSE(expired);
+}
