--- a/libs/peer/include/poplarport/peer/session_clock.hpp
+++ b/libs/peer/include/poplarport/peer/session_clock.hpp
@@ -10,13 +10,15 @@
 ///
 /// The clocks of the two sides have an unknown offset. The smallest difference between the time of receipt and the
 /// sender's reading is that offset plus the shortest delay seen; what a message exceeds it by is additional delay.
+/// The two clocks also run at slightly different rates. Over days that alone would exceed any deadline, so the smallest
+/// difference is allowed to grow by 100 millionths of the time since it was seen, twice what a quartz clock is off by.
 class session_clock
 {
   public:
     /// @brief Takes one message into account.
     /// @param[in] sent_at     the sender's monotonic clock (poplar-sent-at-us)
     /// @param[in] received_at the receiver's monotonic clock
-    /// @return the delay beyond the smallest difference seen on this connection, never below zero
+    /// @return the delay beyond the smallest difference, never below zero
     [[nodiscard]] std::chrono::microseconds excess(std::chrono::microseconds sent_at,
                                                    std::chrono::microseconds received_at) noexcept;
 
@@ -27,7 +29,8 @@
                                                       std::chrono::microseconds received_at) noexcept;
 
   private:
-    std::optional<std::chrono::microseconds> smallest{};
+    std::optional<std::chrono::microseconds> smallest{}; ///< smallest difference, not yet grown
+    std::chrono::microseconds smallest_at{0};            ///< receiver's clock when it was seen
 };
 
 } // namespace poplarport::peer
--- a/libs/peer/src/link.cpp
+++ b/libs/peer/src/link.cpp
@@ -102,7 +102,7 @@
     {
         return nullptr;
     }
-    const auto opened = std::make_shared<detail::link_session>(this->shared_from_this());
+    auto opened = std::make_shared<detail::link_session>(this->shared_from_this());
     this->current = opened;
     this->sessions.insert(opened);
     opened->start(net::stream_socket::connect(*this->loop, this->target, this->chosen.connect_timeout, {}));
--- a/libs/peer/src/session_clock.cpp
+++ b/libs/peer/src/session_clock.cpp
@@ -1,6 +1,7 @@
 #include "poplarport/peer/session_clock.hpp"
 
 #include <algorithm> // max
+#include <cstdint>   // int64_t
 
 namespace poplarport::peer
 {
@@ -8,12 +9,22 @@
 std::chrono::microseconds session_clock::excess(std::chrono::microseconds sent_at,
                                                 std::chrono::microseconds received_at) noexcept
 {
+    constexpr std::int64_t drift_divisor = 10'000;
     const auto difference = received_at - sent_at;
-    if (!this->smallest || difference < *this->smallest)
+    if (!this->smallest)
     {
         this->smallest = difference;
+        this->smallest_at = received_at;
     }
-    return difference - *this->smallest;
+    const auto drift = std::max(std::chrono::microseconds{0}, (received_at - this->smallest_at) / drift_divisor);
+    const auto expected = *this->smallest + drift;
+    if (difference < expected)
+    {
+        this->smallest = difference;
+        this->smallest_at = received_at;
+        return std::chrono::microseconds{0};
+    }
+    return difference - expected;
 }
 
 std::chrono::microseconds session_clock::remaining(std::chrono::microseconds time_left,
--- /dev/null
+++ b/libs/peer/tests/unit-lifetime.cpp
@@ -0,0 +1,214 @@
+#include "raw_peer.hpp"
+
+#include <algorithm> // max, ranges::all_of, ranges::count_if
+#include <array>     // array
+#include <optional>  // optional
+
+#include "poplarport/net/errors.hpp"
+#include "poplarport/peer/errors.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarport;
+using namespace poplarport::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+enum class moment
+{
+    interim,
+    head,
+    body,
+    end,
+    writable,
+    failed
+};
+
+constexpr std::array all_moments{moment::interim, moment::head,     moment::body,
+                                 moment::end,     moment::writable, moment::failed};
+
+} // namespace
+
+TEST_GROUP(peer_lifetime)
+{
+    net::event_loop loop;
+};
+
+// Guards against use of a link, a call or a session after a hook destroyed it; the sanitizers see such a use.
+TEST(peer_lifetime, each_hook_may_destroy_the_link)
+{
+    for (const auto chosen : all_moments)
+    {
+        const auto server = peer::server::builder{}
+                                .listen_on(loopback)
+                                .on_call(
+                                    [&](const std::shared_ptr<peer::server_call>& call)
+                                    {
+                                        call->send_interim({.status = 103});
+                                        call->send_head({.status = 200, .framing = http::body_framing::chunked});
+                                        call->send_body("part");
+                                        call->set_hooks({.on_body = {},
+                                                         .on_body_end = [call, chosen]
+                                                         { chosen == moment::failed ? call->abort() : call->finish(); },
+                                                         .on_writable = {},
+                                                         .on_cancelled = {}});
+                                    })
+                                .build(this->loop);
+        auto link = std::make_unique<peer::link>(peer::link::builder{}.connect_to(server.address()).build(this->loop));
+        const auto at = [&](moment reached)
+        {
+            return [&link, chosen, reached](auto&&...)
+            {
+                if (chosen == reached)
+                {
+                    link.reset();
+                }
+            };
+        };
+        call_result beside;
+        const auto other = link->start(make_head("POST", http::body_framing::chunked), collect(beside));
+        const auto call =
+            link->start(make_head("POST", http::body_framing::chunked), {.on_interim = at(moment::interim),
+                                                                         .on_head = at(moment::head),
+                                                                         .on_body = at(moment::body),
+                                                                         .on_end = at(moment::end),
+                                                                         .on_writable = at(moment::writable),
+                                                                         .on_failed = at(moment::failed)});
+        call->send_body("request");
+        if (chosen != moment::writable)
+        {
+            call->finish_request();
+        }
+        CHECK(run_until(this->loop, [&] { return link == nullptr && beside.is_over(); }));
+        CHECK(beside.failure->error == peer::errc::link_closed);
+        call->send_body("late");
+        call->finish_request();
+        call->set_reading(true);
+        CHECK(call->cancel() == peer::proof::none);
+    }
+}
+
+// Guards against the same on the server's side.
+TEST(peer_lifetime, each_hook_may_destroy_the_server)
+{
+    for (const bool in_call_hook : {true, false})
+    {
+        std::optional<peer::server> server;
+        std::shared_ptr<peer::server_call> kept;
+        server = peer::server::builder{}
+                     .listen_on(loopback)
+                     .on_call(
+                         [&](const std::shared_ptr<peer::server_call>& call)
+                         {
+                             kept = call;
+                             if (in_call_hook)
+                             {
+                                 server.reset();
+                                 return;
+                             }
+                             call->set_hooks({.on_body = [&](std::string_view) { server.reset(); },
+                                              .on_body_end = {},
+                                              .on_writable = {},
+                                              .on_cancelled = {}});
+                         })
+                     .build(this->loop);
+        auto link = peer::link::builder{}.connect_to(server->address()).build(this->loop);
+        call_result result;
+        const auto call = link.start(make_head("POST", http::body_framing::chunked), collect(result));
+        call->send_body("request");
+        call->finish_request();
+        CHECK(run_until(this->loop, [&] { return result.is_over(); }));
+        CHECK(result.failure->not_run == peer::proof::none);
+        kept->send_head({.status = 200});
+        kept->send_body("late");
+        kept->finish();
+        CHECK(kept->caller().host.empty());
+        CHECK(kept->clock().excess(1us, 2us) == 0us);
+    }
+}
+
+// Guards against calls above the receiver's limit of streams that fail instead of waiting.
+TEST(peer_lifetime, calls_above_the_stream_limit_wait_and_those_above_the_links_limit_fail)
+{
+    int in_progress = 0;
+    int greatest = 0;
+    const auto server = peer::server::builder{}
+                            .listen_on(loopback)
+                            .with_limits({.streams = 2})
+                            .on_call(
+                                [&](const std::shared_ptr<peer::server_call>& call)
+                                {
+                                    greatest = std::max(greatest, ++in_progress);
+                                    this->loop.post(
+                                        [&in_progress, call]
+                                        {
+                                            --in_progress;
+                                            http::respond(*call, {.status = 200}, "");
+                                        });
+                                })
+                            .build(this->loop);
+    auto link = peer::link::builder{}.connect_to(server.address()).with_limits({.calls = 9}).build(this->loop);
+    call_result warm_up;
+    const auto first = link.start(make_head("GET", http::body_framing::none), collect(warm_up));
+    CHECK(run_until(this->loop, [&] { return warm_up.ended; }));
+    std::array<call_result, 10> results;
+    for (auto& result : results)
+    {
+        [[maybe_unused]] const auto call = link.start(make_head("GET", http::body_framing::none), collect(result));
+    }
+    CHECK(run_until(this->loop, [&] { return std::ranges::all_of(results, &call_result::is_over); }));
+    LONGS_EQUAL(2, greatest);
+    LONGS_EQUAL(9, std::ranges::count_if(results, &call_result::ended));
+    CHECK(results.back().failure->error == peer::errc::link_full);
+    CHECK(results.back().failure->not_run == peer::proof::not_sent);
+}
+
+struct length_case
+{
+    const char* title;
+    std::size_t announced;
+    std::string sent;
+};
+
+// Guards against a body of another length than announced that the receiver takes for a whole one.
+TEST(peer_lifetime, body_of_another_length_than_announced_fails_on_both_sides)
+{
+    for (const auto& entry : {length_case{"short", 9, "short"}, length_case{"long", 2, "long"}})
+    {
+        bool complete = false;
+        const auto server =
+            peer::server::builder{}
+                .listen_on(loopback)
+                .on_call(
+                    [&](const std::shared_ptr<peer::server_call>& call)
+                    {
+                        call->set_hooks({.on_body = {},
+                                         .on_body_end = [&] { complete = true; },
+                                         .on_writable = {},
+                                         .on_cancelled = {}});
+                        call->send_head(
+                            {.status = 200, .framing = http::body_framing::fixed, .content_length = entry.announced});
+                        call->send_body(entry.sent);
+                        if (call->request().method == "GET")
+                        {
+                            call->finish();
+                        }
+                    })
+                .build(this->loop);
+        auto link = peer::link::builder{}.connect_to(server.address()).build(this->loop);
+        call_result answer;
+        const auto reader = link.start(make_head("GET", http::body_framing::none), collect(answer));
+        CHECK_TEXT(run_until(this->loop, [&] { return answer.is_over(); }), entry.title);
+        CHECK_FALSE_TEXT(answer.ended, entry.title);
+        complete = false;
+        call_result request;
+        const auto writer = link.start(make_head("POST", http::body_framing::fixed, entry.announced), collect(request));
+        writer->send_body(entry.sent);
+        writer->finish_request();
+        CHECK_TEXT(run_until(this->loop, [&] { return request.is_over(); }), entry.title);
+        CHECK_TEXT(request.failure->error == peer::errc::wrong_length, entry.title);
+        CHECK_FALSE_TEXT(complete, entry.title);
+    }
+}
--- /dev/null
+++ b/libs/peer/tests/unit-proofs.cpp
@@ -0,0 +1,232 @@
+#include "raw_peer.hpp"
+
+#include <algorithm> // min, ranges::find
+
+#include "poplarport/net/errors.hpp"
+#include "poplarport/peer/errors.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarport;
+using namespace poplarport::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct failure_case
+{
+    const char* title;
+    std::string bytes;
+    bool closes;
+    std::error_code error;
+    peer::proof not_run;
+    bool head_received;
+};
+
+// Returns the stream ids of the HEADERS frames in what a raw server received after the first flight of a session.
+std::vector<std::uint32_t> streams_with_headers(std::string_view bytes)
+{
+    constexpr std::size_t frame_head_bytes = 9;
+    const auto number = [&](std::size_t offset, std::size_t count)
+    {
+        std::uint32_t value = 0;
+        for (const char byte : bytes.substr(offset, count))
+        {
+            value = value << 8U | static_cast<std::uint8_t>(byte);
+        }
+        return value;
+    };
+    std::vector<std::uint32_t> streams;
+    while (bytes.size() >= frame_head_bytes)
+    {
+        if (bytes[3] == headers_frame)
+        {
+            streams.push_back(number(5, 4));
+        }
+        bytes.remove_prefix(std::min<std::size_t>(bytes.size(), frame_head_bytes + number(0, 3)));
+    }
+    return streams;
+}
+
+} // namespace
+
+TEST_GROUP(peer_proofs)
+{
+    net::event_loop loop;
+
+    peer::link connect(const core::socket_address& address)
+    {
+        return peer::link::builder{}.connect_to(address).build(this->loop);
+    }
+};
+
+// Guards against a false proof, which would run a request twice, and against a broken answer taken for a whole one.
+TEST(peer_proofs, each_way_to_fail_gives_its_error_and_proof)
+{
+    using peer::errc;
+    using peer::proof;
+    const auto part = answer_head() + frame(data_frame, 0, 1, "part");
+    const std::vector<failure_case> cases{
+        {"refused", settings() + reset(refused_stream), false, errc::stream_refused, proof::refused_stream, false},
+        {"refused after an interim answer", settings() + headers({{":status", "103"}}) + reset(refused_stream), false,
+         errc::stream_refused, proof::refused_stream, false},
+        {"reset for another reason", settings() + reset(internal_error), false, errc::stream_reset, proof::none, false},
+        {"reset in the middle", settings() + part + reset(internal_error), false, errc::stream_reset, proof::none,
+         true},
+        {"reset without an error in the middle", settings() + part + reset(0), false, errc::stream_reset, proof::none,
+         true},
+        {"refused in the middle", settings() + part + reset(refused_stream), false, errc::stream_reset, proof::none,
+         true},
+        {"GOAWAY below the stream", settings() + goaway(0), false, errc::going_away, proof::goaway_below, false},
+        {"GOAWAY at the stream", settings() + goaway(1), true, net::errc::connection_closed, proof::none, false},
+        {"closed without an answer", settings(), true, net::errc::connection_closed, proof::none, false},
+        {"closed in the middle", settings() + part, true, net::errc::connection_closed, proof::none, true},
+        {"shorter than announced",
+         settings() + headers({{":status", "200"}, {"content-length", "9"}}) +
+             frame(data_frame, end_stream, 1, "short"),
+         false, errc::protocol_error, proof::none, true},
+        {"connection field", settings() + headers({{":status", "200"}, {"transfer-encoding", "chunked"}}), false,
+         errc::protocol_error, proof::none, false},
+        {"damaged field value", settings() + headers({{":status", "200"}, {"x", "a\nb"}}), false, errc::protocol_error,
+         proof::none, false},
+        {"status out of range", settings() + headers({{":status", "099"}}), false, errc::protocol_error, proof::none,
+         false},
+        {"another protocol", "HTTP/1.1 400 Bad Request\r\n\r\n", false, errc::protocol_error, proof::none, false},
+    };
+    for (const auto& entry : cases)
+    {
+        raw_server server{this->loop, entry.bytes};
+        auto link = this->connect(server.address());
+        call_result result;
+        const auto call = link.start(make_head("POST", http::body_framing::none), collect(result));
+        if (entry.closes)
+        {
+            CHECK_TEXT(run_until(this->loop, [&] { return server.connections == 1; }), entry.title);
+            CHECK_TEXT(run_until(this->loop, [&] { return link.statistics().bytes_in >= entry.bytes.size(); }),
+                       entry.title);
+            server.socket->finish_output();
+        }
+        CHECK_TEXT(run_until(this->loop, [&] { return result.is_over(); }), entry.title);
+        CHECK_TEXT(result.failure.has_value(), entry.title);
+        STRCMP_EQUAL_TEXT(entry.error.message().c_str(), result.failure->error.message().c_str(), entry.title);
+        STRCMP_EQUAL_TEXT(to_string(entry.not_run).data(), to_string(result.failure->not_run).data(), entry.title);
+        CHECK_TEXT(result.failure->head_received == entry.head_received, entry.title);
+        LONGS_EQUAL_TEXT(1, server.connections, entry.title);
+    }
+}
+
+// Guards against a refusal by the owner that the caller sees without its proof.
+TEST(peer_proofs, refuse_stream_proves_not_run_unless_the_answer_began)
+{
+    for (const bool answered : {false, true})
+    {
+        const auto server = peer::server::builder{}
+                                .listen_on(loopback)
+                                .on_call(
+                                    [&](const std::shared_ptr<peer::server_call>& call)
+                                    {
+                                        if (answered)
+                                        {
+                                            call->send_head({.status = 200});
+                                        }
+                                        call->refuse_stream();
+                                    })
+                                .build(this->loop);
+        auto link = this->connect(server.address());
+        call_result result;
+        const auto call = link.start(make_head("POST", http::body_framing::none), collect(result));
+        CHECK(run_until(this->loop, [&] { return result.is_over(); }));
+        CHECK(result.failure->not_run == (answered ? peer::proof::none : peer::proof::refused_stream));
+        LONGS_EQUAL(answered ? 0 : 1, server.statistics().refused);
+    }
+}
+
+// Guards against a call reported as possibly run although it waited behind bytes that the kernel never took, and
+// against the proof for a call of which the other side did receive a byte.
+TEST(peer_proofs, call_behind_a_full_socket_is_not_sent)
+{
+    constexpr std::uint32_t greatest_window = 0x7fffffff;
+    const auto wide_windows = frame(settings_frame, 0, 0, number_bytes(4, 2) + number_bytes(greatest_window, 4)) +
+                              frame(window_update_frame, 0, 0, number_bytes(greatest_window - 65535, 4));
+    raw_server server{this->loop, wide_windows};
+    auto link = this->connect(server.address());
+    call_result first;
+    const auto sender = link.start(make_head("POST", http::body_framing::chunked), collect(first));
+    CHECK(run_until(this->loop, [&] { return link.statistics().bytes_in >= wide_windows.size(); }));
+    server.socket->set_reading(false);
+    // Far more than the kernel's buffers of both sides.
+    sender->send_body(make_data(64'000'000, 4));
+    std::uint64_t before = 0;
+    int quiet_checks = 0;
+    net::timer check{this->loop, [&]
+                     {
+                         const auto total = link.statistics().bytes_out;
+                         quiet_checks = total == before ? quiet_checks + 1 : 0;
+                         before = total;
+                         check.schedule(10ms);
+                     }};
+    check.schedule(10ms);
+    CHECK(run_until(this->loop, [&] { return quiet_checks == 10; }));
+    CHECK(sender->pending_bytes() > 0);
+    call_result second;
+    const auto waiting = link.start(make_head("POST", http::body_framing::none), collect(second));
+    check.schedule(10ms);
+    this->loop.run_once();
+    link.close();
+    CHECK(first.failure->not_run == peer::proof::none);
+    CHECK(second.failure->not_run == peer::proof::not_sent);
+
+    std::string received;
+    bool closed = false;
+    server.socket->set_hooks({.on_connected = {},
+                              .on_bytes = [&](std::string_view bytes) { received.append(bytes); },
+                              .on_drained = {},
+                              .on_closed =
+                                  [&](std::error_code)
+                              {
+                                  closed = true;
+                              }});
+    server.socket->set_reading(true);
+    CHECK(run_until(this->loop, [&] { return closed; }));
+    CHECK(received.size() > 100'000);
+    constexpr std::uint32_t second_stream = 3;
+    const auto streams = streams_with_headers(received);
+    CHECK(std::ranges::find(streams, second_stream) == streams.end());
+}
+
+// Guards against a cancelled call that is sent nevertheless, and against hooks that run after it.
+TEST(peer_proofs, cancel_before_the_call_was_packed_proves_not_sent)
+{
+    int calls = 0;
+    std::error_code cancelled;
+    const auto server = peer::server::builder{}
+                            .listen_on(loopback)
+                            .on_call(
+                                [&](const std::shared_ptr<peer::server_call>& call)
+                                {
+                                    ++calls;
+                                    call->set_hooks({.on_body = {},
+                                                     .on_body_end = {},
+                                                     .on_writable = {},
+                                                     .on_cancelled = [&](std::error_code reason)
+                                                     {
+                                                         cancelled = reason;
+                                                     }});
+                                })
+                            .build(this->loop);
+    auto link = this->connect(server.address());
+    call_result early;
+    const auto unsent = link.start(make_head("POST", http::body_framing::none), collect(early));
+    CHECK(unsent->cancel() == peer::proof::not_sent);
+    call_result late;
+    const auto sent = link.start(make_head("POST", http::body_framing::none), collect(late));
+    CHECK(run_until(this->loop, [&] { return calls == 1; }));
+    CHECK(sent->cancel() == peer::proof::none);
+    CHECK(run_until(this->loop, [&] { return static_cast<bool>(cancelled); }));
+    CHECK(cancelled == peer::errc::call_cancelled);
+    LONGS_EQUAL(1, calls);
+    CHECK_FALSE(early.is_over());
+    CHECK_FALSE(late.is_over());
+    LONGS_EQUAL(0, link.call_count());
+}
