Add the control library: buffered HTTP/1.1 server and client

Cause: administration and the platform's object API need a small HTTP server and client on the loop of the process, and a lost answer must be told from a request that was never sent. Change: server with routes and deferred answers, client with one connection per request, typed errors with may_have_been_sent.

--- /dev/null
+++ b/libs/control/src/message.cpp
@@ -0,0 +1,42 @@
+#include "poplarport/control/message.hpp"
+
+#include <algorithm> // ranges::find
+
+namespace poplarport::control
+{
+
+std::optional<std::string_view> request::parameter(std::string_view name) const noexcept
+{
+    const auto found = std::ranges::find(this->query, name, &query_parameter::name);
+    return found == this->query.end() ? std::nullopt : std::optional<std::string_view>{found->value};
+}
+
+std::optional<std::string_view> request::header(std::string_view name) const noexcept
+{
+    const auto found = std::ranges::find(this->headers, name, &header_field::name);
+    return found == this->headers.end() ? std::nullopt : std::optional<std::string_view>{found->value};
+}
+
+std::string percent_encode(std::string_view text)
+{
+    constexpr std::string_view unreserved = "-._~/";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (const char letter : text)
+    {
+        const auto byte = static_cast<unsigned char>(letter);
+        const bool is_plain = (letter >= '0' && letter <= '9') || (letter >= 'A' && letter <= 'Z') ||
+                              (letter >= 'a' && letter <= 'z') || unreserved.find(letter) != std::string_view::npos;
+        if (is_plain)
+        {
+            result += letter;
+            continue;
+        }
+        result += '%';
+        result += digits[byte >> 4U];
+        result += digits[byte & 0xfU];
+    }
+    return result;
+}
+
+} // namespace poplarport::control
--- /dev/null
+++ b/libs/control/src/responder.cpp
@@ -0,0 +1,56 @@
+#include "poplarport/control/responder.hpp"
+
+#include <utility> // move
+
+#include "detail/server_exchange.hpp"
+#include "poplarport/control/errors.hpp"
+
+namespace poplarport::control
+{
+
+/// @brief Answers with 500 when the last copy of a responder goes without an answer.
+struct responder::guard
+{
+    explicit guard(std::shared_ptr<detail::server_exchange> shared) noexcept : exchange(std::move(shared))
+    {
+    }
+
+    ~guard()
+    {
+        this->exchange->on_gone = nullptr;
+        this->exchange->answer_with(
+            {status::internal_error, text_type, make_error_code(errc::no_answer).message() + "\n"});
+    }
+
+    guard(const guard&) = delete;
+    guard& operator=(const guard&) = delete;
+
+    std::shared_ptr<detail::server_exchange> exchange;
+};
+
+responder::responder(std::shared_ptr<detail::server_exchange> shared) noexcept
+    : exchange(std::move(shared)), last_copy(std::make_shared<guard>(this->exchange))
+{
+}
+
+void responder::send(answer result) const
+{
+    this->exchange->answer_with(std::move(result));
+}
+
+void responder::drop() const
+{
+    this->exchange->drop();
+}
+
+bool responder::is_open() const noexcept
+{
+    return this->exchange->is_open();
+}
+
+void responder::on_gone(std::function<void()> hook) const
+{
+    this->exchange->on_gone = std::move(hook);
+}
+
+} // namespace poplarport::control
--- /dev/null
+++ b/libs/control/tests/unit-exchange.cpp
@@ -0,0 +1,206 @@
+#include "poplarport/control/client.hpp"
+#include "poplarport/control/errors.hpp"
+#include "poplarport/control/server.hpp"
+#include "poplarport/net/timer.hpp"
+
+#include <chrono>   // seconds, milliseconds
+#include <memory>   // unique_ptr
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarport;
+using namespace std::chrono_literals;
+using control::answer;
+using control::errc;
+using control::reply;
+using control::request;
+using control::responder;
+
+namespace
+{
+
+struct round_trip_case
+{
+    request message;
+    unsigned status;
+    std::string body;
+};
+
+} // namespace
+
+TEST_GROUP(exchange)
+{
+    net::event_loop loop;
+    control::client client{loop};
+    std::unique_ptr<control::server> server;
+    std::optional<responder> kept;
+    bool is_gone{false};
+
+    void setup() override
+    {
+        const auto describe = [](const request& message, const responder& to)
+        {
+            std::string text = message.method + " " + message.path;
+            for (const auto& parameter : message.query)
+            {
+                text += " " + parameter.name + "=" + parameter.value;
+            }
+            text += " " + std::string{message.header("if-match").value_or("-")};
+            to.send({control::status::ok, control::text_type, text + " " + std::to_string(message.body.size())});
+        };
+        const auto echo = [](const request& message, const responder& to)
+        {
+            to.send({control::status::ok, control::json_type, message.body});
+        };
+        const auto keep = [this](const request&, const responder& to)
+        {
+            this->kept = to;
+            to.on_gone([this] { this->is_gone = true; });
+        };
+        this->server = control::server::builder{this->loop}
+                           .route("GET", "/v1/", describe)
+                           .route("PUT", "/v1/", describe)
+                           .route("DELETE", "/v1/", describe)
+                           .route("POST", "/echo", echo)
+                           .route("GET", "/keep", keep)
+                           .route("GET", "/empty",
+                                  [](const request&, const responder& to) {
+                                      to.send({control::status::no_content, "", ""});
+                                  })
+                           .route("GET", "/forget", [](const request&, const responder&) {})
+                           .route("GET", "/drop", [](const request&, const responder& to) { to.drop(); })
+                           .build();
+    }
+
+    void teardown() override
+    {
+        this->kept.reset();
+        this->server.reset();
+    }
+
+    /// @brief Runs the loop until the condition holds; a hang fails the test after a bounded time.
+    template <class Condition>
+    void run_until(Condition condition)
+    {
+        bool expired = false;
+        net::timer limit{this->loop, [&expired]
+                         {
+                             expired = true;
+                         }};
+        limit.schedule(10s);
+        // Wakes the loop, which does not return by itself after it has run a posted function.
+        net::timer tick{this->loop, [&tick]
+                        {
+                            tick.schedule(1ms);
+                        }};
+        tick.schedule(1ms);
+        while (!condition() && !expired)
+        {
+            this->loop.run_once();
+        }
+        CHECK_FALSE(expired);
+    }
+
+    reply exchange(const request& message, core::duration timeout = 5s)
+    {
+        std::optional<reply> result;
+        this->client.send(this->server->address(), message, timeout, [&result](const reply& given) { result = given; });
+        this->run_until([&result] { return result.has_value(); });
+        return *result;
+    }
+};
+
+// Guards against a request or an answer that changes on its way.
+TEST(exchange, request_and_answer_arrive_whole)
+{
+    const std::string large(control::greatest_body_bytes, 'x');
+    const round_trip_case cases[] = {
+        {{.method = "GET", .path = "/v1/objects/a?watch=true&after=3"},
+         200,
+         "GET /v1/objects/a watch=true after=3 - 0"},
+        {{.method = "GET", .path = "/v1/services%2Fb"}, 200, "GET /v1/services/b - 0"},
+        {{.method = "DELETE", .path = "/v1/a", .headers = {{"if-match", "\"7\""}}}, 200, "DELETE /v1/a \"7\" 0"},
+        {{.method = "PUT", .path = "/v1/a", .headers = {{"if-match", "\"7\""}}, .body = "{}"},
+         200,
+         "PUT /v1/a \"7\" 2"},
+        {{.method = "PUT", .path = "/v1/a", .body = ""}, 200, "PUT /v1/a - 0"},
+        {{.method = "PUT", .path = "/v1/a", .body = large}, 200, "PUT /v1/a - 1048576"},
+        {{.method = "POST", .path = "/echo", .body = large}, 200, large},
+        {{.method = "GET", .path = "/empty"}, 204, ""},
+        {{.method = "GET", .path = "/echo"}, 405, "The path does not accept the method.\n"},
+        {{.method = "GET", .path = "/other"}, 404, "The server has no such path.\n"},
+        {{.method = "GET", .path = "/forget"}, 500, "The handler of the request gave no answer.\n"},
+        {{.method = "HEAD", .path = "/v1/a"}, 200, ""},
+    };
+    for (const round_trip_case& sample : cases)
+    {
+        const reply result = this->exchange(sample.message);
+        CHECK_TRUE_TEXT(
+            result.received.has_value(),
+            (sample.message.method + std::to_string(sample.message.body.size()) + result.error.message()).c_str());
+        UNSIGNED_LONGS_EQUAL_TEXT(sample.status, result.received->status, sample.message.path.c_str());
+        STRCMP_EQUAL(sample.body.c_str(), result.received->body.c_str());
+    }
+}
+
+// Guards against a long-poll answer that is lost, and against one that is sent to a caller that has gone.
+TEST(exchange, answers_may_be_deferred)
+{
+    std::optional<reply> result;
+    this->client.send(this->server->address(), {.path = "/keep"}, 5s,
+                      [&result](const reply& given) { result = given; });
+    this->run_until([this] { return this->kept.has_value(); });
+    this->kept->send({control::status::ok, control::json_type, "later"});
+    this->run_until([&result] { return result.has_value(); });
+    STRCMP_EQUAL("later", result->received->body.c_str());
+    CHECK_FALSE(this->is_gone);
+
+    this->kept.reset();
+    const reply expired = this->exchange({.path = "/keep"}, 50ms);
+    CHECK_TRUE(expired.error == errc::timed_out);
+    CHECK_TRUE(expired.may_have_been_sent);
+    this->run_until([this] { return this->is_gone; });
+    CHECK_FALSE(this->kept->is_open());
+    this->kept->send({});
+}
+
+// Guards against a lost answer being reported as a request that was not sent, and the reverse.
+TEST(exchange, errors_tell_whether_the_request_may_have_been_sent)
+{
+    const reply dropped = this->exchange({.path = "/drop"});
+    CHECK_TRUE(dropped.error == errc::answer_incomplete);
+    CHECK_TRUE(dropped.may_have_been_sent);
+
+    const reply invalid = this->exchange({.path = "/a b"});
+    CHECK_TRUE(invalid.error == errc::invalid_request);
+    CHECK_FALSE(invalid.may_have_been_sent);
+
+    const core::socket_address closed = this->server->address();
+    this->server.reset();
+    std::optional<reply> refused;
+    this->client.send(closed, {.path = "/v1/a"}, 5s, [&refused](const reply& given) { refused = given; });
+    this->run_until([&refused] { return refused.has_value(); });
+    CHECK_TRUE(refused->error == errc::connect_failed);
+    CHECK_FALSE(refused->may_have_been_sent);
+}
+
+// Guards against hooks of a destroyed client, and against a destroyed server that keeps its port.
+TEST(exchange, client_and_server_can_be_destroyed_with_requests_in_flight)
+{
+    bool is_called = false;
+    {
+        control::client other{this->loop};
+        other.send(this->server->address(), {.path = "/keep"}, 5s, [&is_called](const reply&) { is_called = true; });
+        this->run_until([this] { return this->kept.has_value(); });
+        UNSIGNED_LONGS_EQUAL(1, other.in_flight());
+    }
+    this->run_until([this] { return this->is_gone; });
+    CHECK_FALSE(is_called);
+    const core::socket_address address = this->server->address();
+    this->server.reset();
+    this->server = control::server::builder{this->loop}.listen(address).build();
+    CHECK_TRUE(this->server->address() == address);
+}
