--- a/libs/core/include/poplarport/core/socket_address.hpp
+++ b/libs/core/include/poplarport/core/socket_address.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>     // strong_ordering
 #include <cstdint>     // uint16_t
 #include <optional>    // optional
 #include <string>      // string, to_string
 #include <string_view> // string_view
+#include <tuple>       // tie
 
 namespace poplarport::core
 {
@@ -15,7 +15,13 @@
     std::string host;      ///< IPv4 or IPv6 number, without brackets
     std::uint16_t port{0}; ///< TCP or UDP port
 
-    auto operator<=>(const socket_address&) const = default;
+    bool operator==(const socket_address&) const = default;
+
+    /// @brief Orders addresses by host and then by port.
+    [[nodiscard]] bool operator<(const socket_address& other) const
+    {
+        return std::tie(this->host, this->port) < std::tie(other.host, other.port);
+    }
 };
 
 /// @brief Formats an address as `host:port`, with brackets around an IPv6 number.
--- a/libs/http/include/poplarport/http/server.hpp
+++ b/libs/http/include/poplarport/http/server.hpp
@@ -11,6 +11,7 @@
 #include "poplarport/core/time.hpp"
 #include "poplarport/http/message.hpp"
 #include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/listener.hpp"
 
 namespace poplarport::http
 {
@@ -102,9 +103,18 @@
     /// @return the number of open connections
     [[nodiscard]] std::size_t connection_count() const noexcept;
 
-    /// @brief Prepares a stop: idle connections close, every further answer closes its connection.
+    /// @brief Prepares a stop: every further answer closes its connection.
+    ///
+    /// Idle connections stay open, because a request may already be on its way on them; see close_idle().
     void drain();
 
+    /// @brief Closes the connections on which no request is in progress.
+    void close_idle();
+
+    /// @brief Starts to accept connections, for a server that was built with listen_later().
+    /// @throw std::system_error with net::errc::listen_failed
+    void start_listening();
+
     /// @brief Stops accepting connections.
     void stop_listening();
 
@@ -123,6 +133,9 @@
     /// @param[in] address address to listen on; port 0 takes a free port
     builder& listen_on(core::socket_address address);
 
+    /// @brief Binds the address when the server is built, and refuses connections until start_listening().
+    builder& listen_later() noexcept;
+
     /// @param[in] hook called for each request whose head is valid
     builder& on_request(request_hook hook);
 
@@ -139,6 +152,7 @@
 
   private:
     core::socket_address listen_address{};
+    net::listen_mode mode{net::listen_mode::at_once};
     request_hook request{};
     refusal_hook refusal{};
     limits chosen{};
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -47,6 +47,10 @@
 void server::drain()
 {
     this->data->draining = true;
+}
+
+void server::close_idle()
+{
     const auto open = this->data->connections;
     for (const auto& connection : open)
     {
@@ -54,8 +58,20 @@
     }
 }
 
+void server::start_listening()
+{
+    if (this->data->accepting)
+    {
+        this->data->accepting->listen();
+    }
+}
+
 void server::stop_listening()
 {
+    if (this->data->accepting)
+    {
+        this->data->accepting->accept_pending();
+    }
     this->data->accepting.reset();
 }
 
@@ -86,6 +102,12 @@
     return *this;
 }
 
+server::builder& server::builder::listen_later() noexcept
+{
+    this->mode = net::listen_mode::later;
+    return *this;
+}
+
 server::builder& server::builder::on_request(request_hook hook)
 {
     this->request = std::move(hook);
@@ -112,9 +134,9 @@
     shared->request = this->request;
     shared->refusal = this->refusal;
     auto* const target = shared.get();
-    shared->accepting = std::make_unique<net::listener>(loop, this->listen_address,
-                                                        [target](std::unique_ptr<net::stream_socket> socket)
-                                                        { target->accept(std::move(socket)); });
+    shared->accepting = std::make_unique<net::listener>(
+        loop, this->listen_address,
+        [target](std::unique_ptr<net::stream_socket> socket) { target->accept(std::move(socket)); }, this->mode);
     shared->bound = shared->accepting->address();
     return server{std::move(shared)};
 }
--- a/libs/membership/include/poplarport/membership/detector.hpp
+++ b/libs/membership/include/poplarport/membership/detector.hpp
@@ -62,6 +62,10 @@
     /// @brief Replaces the addresses that are contacted while no member is known, from the seeds object.
     void set_seeds(std::vector<core::socket_address> addresses);
 
+    /// @brief Contacts addresses of the seeds object that belong to no live member, so that groups that were formed
+    /// apart find each other.
+    [[nodiscard]] detector_output introduce(const std::vector<core::socket_address>& addresses) const;
+
     /// @brief Probes, sends news and compares lists as far as each is due.
     /// @param[in]     now    the present time
     /// @param[in,out] random source of jitter and choices
--- a/libs/membership/include/poplarport/membership/seed_duty.hpp
+++ b/libs/membership/include/poplarport/membership/seed_duty.hpp
@@ -49,6 +49,9 @@
     core::duration interval{std::chrono::minutes{1}};
     core::duration back_off_limit{std::chrono::minutes{10}}; ///< longest interval while the platform fails
     std::chrono::milliseconds lease{std::chrono::minutes{2}};
+    /// Wait before a read that a change of the members asks for, because too few of the last seen seeds are live. A
+    /// service's first node writes itself alone; without an early rewrite its replacement would find no other member.
+    core::duration early_wait{std::chrono::seconds{1}};
 };
 
 /// @brief Read the object `seeds/SERVICE`.
@@ -97,7 +100,10 @@
     /// @return a conditional write if the seeds differ enough from the live members
     [[nodiscard]] std::optional<seed_action> on_read(const std::optional<seeds_document>& document,
                                                      core::version version, const std::vector<member>& members,
-                                                     wall_time wall_now) const;
+                                                     wall_time wall_now);
+
+    /// @brief Brings the next read forward when this member is on duty and too few of the last seen seeds are live.
+    void on_members(const std::vector<member>& members, core::time_point now, std::mt19937_64& random);
 
     /// @brief Processes a read or a write that failed, or whose answer was lost; the object is read again later.
     void on_failed(core::time_point now, std::mt19937_64& random);
@@ -112,6 +118,7 @@
     }
 
   private:
+    [[nodiscard]] std::size_t wanted_seeds(std::size_t live) const noexcept;
     [[nodiscard]] std::vector<member> candidates(const std::vector<member>& members) const;
 
     std::string key;
@@ -119,6 +126,8 @@
     seed_duty_settings limits;
     core::duration wait;
     core::time_point next_read;
+    core::time_point earliest_read{};
+    std::vector<seed> seen{}; ///< seeds as last read or written
 };
 
 /// @return the addresses of the seeds
--- a/libs/membership/src/detector.cpp
+++ b/libs/membership/src/detector.cpp
@@ -330,6 +330,25 @@
     }
 }
 
+detector_output detector::introduce(const std::vector<core::socket_address>& addresses) const
+{
+    detector_output output;
+    if (this->passive())
+    {
+        return output;
+    }
+    const auto live = this->members();
+    for (const auto& address : addresses)
+    {
+        const bool is_known = std::ranges::find(live, address, &member::peer_address) != live.end();
+        if (!is_known)
+        {
+            output.messages.push_back({address, sync_request{this->header(), this->own_hash()}});
+        }
+    }
+    return output;
+}
+
 void detector::publish_own(core::time_point now)
 {
     this->news.add(this->own.id);
--- a/libs/membership/src/seed_duty.cpp
+++ b/libs/membership/src/seed_duty.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/membership/seed_duty.hpp"
 
-#include <algorithm> // min, ranges::count_if, ranges::find
+#include <algorithm> // max, min, ranges::any_of, ranges::count_if, ranges::find
 #include <utility>   // move
 
 #include "poplarport/membership/detail/jitter.hpp"
@@ -9,6 +9,24 @@
 namespace poplarport::membership
 {
 
+namespace
+{
+
+std::size_t live_seeds(const std::vector<seed>& seeds, const std::vector<member>& live)
+{
+    const auto is_live_seed = [&live](const seed& each)
+    {
+        const auto same = [&each](const member& candidate)
+        {
+            return candidate.id == each.id && candidate.peer_address == each.peer_address;
+        };
+        return std::ranges::any_of(live, same);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(seeds, is_live_seed));
+}
+
+} // namespace
+
 seed_duty::seed_duty(std::string service, core::node_id self, const seed_duty_settings& settings, core::time_point now,
                      std::mt19937_64& random)
     : key("seeds/" + std::move(service)), own_id(std::move(self)), limits(settings), wait(settings.interval),
@@ -30,33 +48,28 @@
         return std::nullopt;
     }
     this->next_read = now + detail::around(this->wait, random);
+    this->earliest_read = now + this->limits.early_wait;
     return this->on_duty(members) ? std::optional<seed_action>{read_seeds{}} : std::nullopt;
 }
 
 std::optional<seed_action> seed_duty::on_read(const std::optional<seeds_document>& document, core::version version,
-                                              const std::vector<member>& members, wall_time wall_now) const
+                                              const std::vector<member>& members, wall_time wall_now)
 {
+    const seeds_document old = document.value_or(seeds_document{});
+    this->seen = old.seeds;
     if (!this->on_duty(members))
     {
         return std::nullopt;
     }
-    const seeds_document old = document.value_or(seeds_document{});
-    if (old.lease_holder != this->own_id && wall_now < old.lease_end)
+    const auto order = this->candidates(members);
+    // The lease of a holder that is not live any more saves nobody's work.
+    const bool holder_is_live = std::ranges::find(order, old.lease_holder, &member::id) != order.end();
+    if (old.lease_holder != this->own_id && holder_is_live && wall_now < old.lease_end)
     {
         return std::nullopt;
     }
-    const auto order = this->candidates(members);
-    const auto is_live_seed = [&order](const seed& each)
-    {
-        const auto same = [&each](const member& live)
-        {
-            return live.id == each.id && live.peer_address == each.peer_address;
-        };
-        return std::ranges::any_of(order, same);
-    };
-    const auto wanted = std::min(this->limits.live_seeds, order.size());
-    const auto useful = static_cast<std::size_t>(std::ranges::count_if(old.seeds, is_live_seed));
-    if (document && useful * 2 >= wanted)
+    const auto wanted = this->wanted_seeds(order.size());
+    if (document && live_seeds(old.seeds, order) * 2 >= wanted)
     {
         return std::nullopt;
     }
@@ -74,13 +87,30 @@
             seeds.push_back(each);
         }
     }
+    this->seen = seeds;
     return action;
 }
 
+void seed_duty::on_members(const std::vector<member>& members, core::time_point now, std::mt19937_64& random)
+{
+    if (!this->on_duty(members))
+    {
+        return;
+    }
+    const auto order = this->candidates(members);
+    if (live_seeds(this->seen, order) * 2 >= this->wanted_seeds(order.size()))
+    {
+        return;
+    }
+    const auto due = std::max(now + detail::around(this->limits.early_wait, random), this->earliest_read);
+    this->next_read = std::min(this->next_read, due);
+}
+
 void seed_duty::on_failed(core::time_point now, std::mt19937_64& random)
 {
     this->wait = std::min(this->wait * 2, this->limits.back_off_limit);
     this->next_read = now + detail::around(this->wait, random);
+    this->earliest_read = this->next_read;
 }
 
 void seed_duty::on_done() noexcept
@@ -88,6 +118,11 @@
     this->wait = this->limits.interval;
 }
 
+std::size_t seed_duty::wanted_seeds(std::size_t live) const noexcept
+{
+    return std::min(this->limits.live_seeds, live);
+}
+
 std::vector<member> seed_duty::candidates(const std::vector<member>& members) const
 {
     std::vector<member> staying;
--- a/libs/net/include/poplarport/net/listener.hpp
+++ b/libs/net/include/poplarport/net/listener.hpp
@@ -15,6 +15,13 @@
 class descriptor_watch;
 } // namespace detail
 
+/// @brief When a listener starts to accept connections.
+enum class listen_mode
+{
+    at_once,
+    later ///< the address is bound; connections are refused until listener::listen() is called
+};
+
 /// @brief A listening TCP socket. Destroying it closes it; accepted connections stay open.
 class listener
 {
@@ -25,20 +32,33 @@
     /// @param[in] address   address to listen on; port 0 takes a free port
     /// @param[in] on_accept hook for each accepted connection
     /// @throw std::system_error with errc::invalid_address or errc::listen_failed
-    listener(event_loop& loop, const core::socket_address& address, accept_hook on_accept);
+    /// @param[in] mode      when to start
+    listener(event_loop& loop, const core::socket_address& address, accept_hook on_accept,
+             listen_mode mode = listen_mode::at_once);
     ~listener();
     listener(const listener&) = delete;
     listener& operator=(const listener&) = delete;
 
+    /// @brief Starts to accept connections; nothing changes when it has started.
+    /// @throw std::system_error with errc::listen_failed
+    void listen();
+
+    /// @brief Accepts the connections that the kernel has established already.
+    ///
+    /// Closing the socket would reset them, although their callers may have sent requests.
+    void accept_pending();
+
     /// @return the address with the port in use
     [[nodiscard]] const core::socket_address& address() const noexcept;
 
   private:
     void accept_all();
+    void accept_up_to(int limit);
 
     event_loop* loop;
     core::socket_address bound;
     accept_hook hook;
+    int descriptor{-1};
     std::unique_ptr<detail::descriptor_watch> watch;
 };
 
--- /dev/null
+++ b/libs/node/include/poplarport/node/configuration_task.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <functional>  // function
+#include <memory>      // shared_ptr
+#include <random>      // mt19937_64
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
+
+#include "poplarport/configuration/follower.hpp"
+#include "poplarport/manifest/service_document.hpp"
+#include "poplarport/membership/member.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/node/peer_listener.hpp"
+#include "poplarport/node/platform_client.hpp"
+#include "poplarport/node/service_router.hpp"
+
+namespace poplarport::node
+{
+
+/// @brief Follows the configuration of the node's services: carries out what `configuration::follower` decides.
+class configuration_task
+{
+  public:
+    /// @brief Hooks to the rest of the node.
+    struct hooks
+    {
+        /// A new version of a service's configuration is in force.
+        std::function<void(const std::shared_ptr<const manifest::service_document>&, core::version)> on_document;
+        /// Finds the router of a service, or nullptr.
+        std::function<service_router*(const std::string&)> router_of;
+    };
+
+    /// @param[in] loop     loop of the node
+    /// @param[in] identity identity of the node; must outlive the task
+    /// @param[in] platform client of the platform; must outlive the task
+    /// @param[in] random   random engine of the node
+    /// @param[in] events   hooks to the rest of the node
+    configuration_task(net::event_loop& loop, const node_identity& identity, platform_client& platform,
+                       std::mt19937_64& random, hooks events);
+    ~configuration_task();
+    configuration_task(const configuration_task&) = delete;
+    configuration_task& operator=(const configuration_task&) = delete;
+
+    /// @brief Starts to follow a service.
+    void follow(const std::string& service);
+
+    /// @brief Tells the live members of a service and the versions that they announced.
+    void set_members(const std::string& service, const std::vector<membership::member>& members);
+
+    /// @brief A peer served a call, or announced itself, under a version.
+    void on_version_seen(const std::string& service, const core::node_id& peer, core::version version);
+
+    /// @brief Answers another node's pull.
+    /// @param[in] service name of the service
+    /// @param[in] above   version that the other node holds
+    [[nodiscard]] peer_document answer_pull(const std::string& service, core::version above) const;
+
+    /// @return the version in force, zero for none
+    [[nodiscard]] core::version version_of(const std::string& service) const;
+
+    /// @return offers that were refused because they were older than the version in force
+    [[nodiscard]] std::uint64_t older_offers() const;
+
+  private:
+    void run();
+    void execute(const configuration::follower_action& action);
+    void pull(const configuration::pull_peer& request);
+    void handle_platform(const std::string& service, const platform_read& result);
+    void offer(const configuration::document& document, const configuration::document_source& source);
+    void schedule();
+
+    net::event_loop* loop;
+    const node_identity* identity;
+    platform_client* platform;
+    std::mt19937_64* random;
+    hooks events;
+    configuration::follower follower;
+    net::timer wakeup;
+    std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
+};
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/include/poplarport/node/detail/peer_call_bridge.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional> // function
+#include <memory>     // enable_shared_from_this, shared_ptr
+
+#include "poplarport/node/attempt_channel.hpp"
+#include "poplarport/node/receiver.hpp"
+#include "poplarport/peer/server.hpp"
+
+namespace poplarport::node::detail
+{
+
+/// @brief Connects a call of another node with the attempt at the local upstream.
+class peer_call_bridge : public std::enable_shared_from_this<peer_call_bridge>
+{
+  public:
+    /// @param[in] call           the other node's call
+    /// @param[in] config_version reads the version under which calls are served
+    peer_call_bridge(std::shared_ptr<peer::server_call> call, std::function<core::version()> config_version);
+
+    /// @brief Offers the request to the receiving side.
+    void start(receiver& target, http::request_head head, received_call received);
+
+  private:
+    [[nodiscard]] http::server_exchange::hooks call_hooks();
+    [[nodiscard]] attempt_channel::hooks channel_hooks();
+    void handle_head(http::response_head& head, const answer_context& context);
+    void handle_failure(const attempt_failure& failure);
+
+    std::shared_ptr<peer::server_call> call;
+    std::function<core::version()> config_version;
+    std::shared_ptr<attempt_channel> channel{};
+    bool head_sent{false};
+};
+
+/// @brief Answers a call of another node that ended without an answer of the upstream.
+void answer_failure(peer::server_call& call, const attempt_failure& failure, core::version config_version);
+
+} // namespace poplarport::node::detail
--- /dev/null
+++ b/libs/node/include/poplarport/node/detail/peer_channel.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <memory> // enable_shared_from_this, shared_ptr
+
+#include "poplarport/node/attempt_channel.hpp"
+#include "poplarport/peer/client_call.hpp"
+#include "poplarport/peer/link.hpp"
+
+namespace poplarport::node::detail
+{
+
+/// @brief Header field with the key that nodes of one cluster show to each other.
+inline constexpr const char* cluster_key_field = "poplar-cluster-key";
+
+/// @brief Header field with the name of the service that a call between nodes is for.
+inline constexpr const char* service_field = "poplar-service";
+
+/// @brief An attempt at another node, over a link.
+class peer_channel final : public attempt_channel, public std::enable_shared_from_this<peer_channel>
+{
+  public:
+    explicit peer_channel(hooks events);
+
+    /// @brief Starts the call; separate from construction, because its hooks refer to the channel.
+    void start(peer::link& link, const http::request_head& head);
+
+    void send_body(std::string_view bytes) override;
+    void finish_request() override;
+    void set_reading(bool enabled) override;
+    void cancel() override;
+    [[nodiscard]] std::size_t pending_bytes() const noexcept override;
+    [[nodiscard]] bool has_sent_bytes() const noexcept override;
+
+  private:
+    [[nodiscard]] peer::client_call::hooks call_hooks();
+    void handle_head(http::response_head& head);
+    void handle_end();
+    void handle_failure(const peer::call_failure& failure);
+    void fail(const attempt_failure& failure);
+
+    std::shared_ptr<hooks> events;
+    std::shared_ptr<peer::client_call> call{};
+    answer_context context{};
+    bool ended{false};
+};
+
+} // namespace poplarport::node::detail
--- a/libs/node/include/poplarport/node/entry.hpp
+++ b/libs/node/include/poplarport/node/entry.hpp
@@ -41,7 +41,7 @@
     };
 
     /// @param[in] loop      loop of the node
-    /// @param[in] address   address for callers
+    /// @param[in] address   address for callers; connections are refused until start_listening()
     /// @param[in] directory configuration of the services; must outlive the entry
     /// @param[in] random    random engine of the node
     /// @param[in] name      name of the node, the first part of request ids
@@ -55,9 +55,16 @@
     /// @return the address with the port in use
     [[nodiscard]] core::socket_address address() const;
 
-    /// @brief Prepares a stop: answers close their connections, idle connections close.
+    /// @brief Prepares a stop: every further answer closes its connection.
     void drain();
 
+    /// @brief Closes the connections on which no request is in progress.
+    void close_idle();
+
+    /// @brief Starts to accept connections; a node does so when it is ready, so that no caller meets a node without
+    /// configuration.
+    void start_listening();
+
     /// @brief Stops accepting connections.
     void stop_listening();
 
--- /dev/null
+++ b/libs/node/include/poplarport/node/membership_task.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <functional>  // function
+#include <memory>      // shared_ptr, unique_ptr
+#include <optional>    // optional
+#include <random>      // mt19937_64
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
+
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/membership/detector.hpp"
+#include "poplarport/membership/seed_duty.hpp"
+#include "poplarport/net/datagram_socket.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/node/peer_listener.hpp"
+#include "poplarport/node/platform_client.hpp"
+#include "poplarport/node/service_router.hpp"
+
+namespace poplarport::node
+{
+
+/// @brief What a membership task tells and needs.
+struct membership_parameters
+{
+    std::string service;
+    core::socket_address callers;
+    core::socket_address peers; ///< TCP port in use; datagrams use the same number
+    std::string cluster_secret; ///< key of the datagrams
+};
+
+/// @brief Traffic of membership since the start.
+struct membership_traffic
+{
+    std::uint64_t datagrams_in{0};
+    std::uint64_t datagrams_out{0};
+    std::uint64_t bytes_in{0};
+    std::uint64_t bytes_out{0};
+    std::uint64_t refused{0}; ///< datagrams that could not be decoded or were not authentic
+};
+
+/// @brief Takes part in the membership of the node's own service and keeps the service's seeds on the platform.
+class membership_task
+{
+  public:
+    /// @brief Hooks to the rest of the node.
+    struct hooks
+    {
+        std::function<void(const std::vector<membership::member>&)> on_members; ///< the list of live members changed
+        /// A member announced free slots.
+        std::function<void(const core::node_id&, std::uint32_t)> on_idle_hint;
+        std::function<void()> on_superseded; ///< a later start of this node's id is alive elsewhere
+    };
+
+    /// @param[in] loop       loop of the node
+    /// @param[in] identity   identity of the node; must outlive the task
+    /// @param[in] parameters service and addresses
+    /// @param[in] platform   client of the platform; must outlive the task
+    /// @param[in] random     random engine of the node
+    /// @param[in] events     hooks to the rest of the node
+    membership_task(net::event_loop& loop, const node_identity& identity, membership_parameters parameters,
+                    platform_client& platform, std::mt19937_64& random, hooks events);
+    ~membership_task();
+    membership_task(const membership_task&) = delete;
+    membership_task& operator=(const membership_task&) = delete;
+
+    /// @brief Announces that the node takes no new work.
+    void drain();
+
+    /// @brief Announces the end of the node.
+    void leave();
+
+    /// @brief Announces the version of the configuration that is in force.
+    void set_configuration_version(core::version version);
+
+    /// @brief Sends an idle hint to a member.
+    /// @return bytes sent, 0 when it was not sent
+    std::size_t send_idle_hint(const core::socket_address& to, std::uint32_t free_slots);
+
+    /// @return the live members
+    [[nodiscard]] std::vector<membership::member> members() const;
+
+    /// @brief Answers an observer's pull of the member list.
+    [[nodiscard]] peer_document answer_pull(std::uint64_t known_hash) const;
+
+    /// @return traffic since the start
+    [[nodiscard]] const membership_traffic& traffic() const noexcept
+    {
+        return this->counted;
+    }
+
+    /// @return counters of the detector
+    [[nodiscard]] const membership::detector_counters& counters() const noexcept
+    {
+        return this->detector.counters();
+    }
+
+  private:
+    void handle_datagram(const core::socket_address& from, std::string_view bytes);
+    void tick();
+    void act_on(const membership::detector_output& output);
+    void send(const core::socket_address& to, const std::string& bytes);
+    void read_seeds_at_start();
+    void keep_seeds();
+    void schedule_seeds();
+    void handle_seeds(const platform_read& result);
+    void handle_written(platform_write result);
+    void execute(const membership::seed_action& action);
+    void schedule();
+
+    net::event_loop* loop;
+    membership_parameters own;
+    platform_client* platform;
+    std::mt19937_64* random;
+    hooks events;
+    membership::detector detector;
+    membership::seed_duty duty;
+    net::timer wakeup;
+    net::timer seeds_wakeup;
+    net::datagram_socket socket;
+    membership_traffic counted{};
+    bool seeds_known{false};
+    core::duration seeds_back_off;
+    std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
+};
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/include/poplarport/node/peer_listener.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <functional>  // function
+#include <memory>      // shared_ptr, unique_ptr
+#include <string>      // string
+#include <string_view> // string_view
+
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/node/receiver.hpp"
+#include "poplarport/node/service_router.hpp"
+#include "poplarport/peer/server.hpp"
+
+namespace poplarport::node
+{
+
+/// @brief Answer to a request of another node that is no call.
+struct peer_document
+{
+    int status{0};
+    std::string content_type{};
+    std::string body{};
+};
+
+/// @brief The listener for other nodes: calls for the local upstream, and pulls of configuration and member lists.
+class peer_listener
+{
+  public:
+    /// @brief Hooks to the rest of the node.
+    struct hooks
+    {
+        std::function<core::version()> config_version; ///< version under which calls are served
+        /// Answers a request below `/.poplar/`.
+        std::function<peer_document(std::string_view target)> document;
+        std::function<void()> on_drained; ///< no session is left after drain()
+    };
+
+    /// @param[in] loop     loop of the node
+    /// @param[in] address  address for other nodes
+    /// @param[in] identity identity of the node; must outlive the listener
+    /// @param[in] service  service of the local upstream
+    /// @param[in] events   hooks to the rest of the node
+    peer_listener(net::event_loop& loop, const core::socket_address& address, const node_identity& identity,
+                  std::string service, hooks events);
+    ~peer_listener();
+    peer_listener(const peer_listener&) = delete;
+    peer_listener& operator=(const peer_listener&) = delete;
+
+    /// @brief Sets the receiving side; calls are refused while there is none.
+    void set_receiver(receiver* value) noexcept;
+
+    /// @return the address with the port in use
+    [[nodiscard]] core::socket_address address() const;
+
+    /// @brief Announces the stop to other nodes; calls in progress finish.
+    void drain();
+
+    /// @return the listener's own counters
+    [[nodiscard]] const peer::counters& statistics() const noexcept;
+
+    /// @return calls in progress
+    [[nodiscard]] std::size_t call_count() const noexcept;
+
+  private:
+    void handle_call(const std::shared_ptr<peer::server_call>& call);
+    void refuse(peer::server_call& call, std::error_code reason);
+    [[nodiscard]] bool shows_cluster_key(const peer::server_call& call) const;
+
+    net::event_loop* loop;
+    const node_identity* identity;
+    std::string service;
+    hooks events;
+    receiver* local{nullptr};
+    std::unique_ptr<peer::server> server;
+};
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/include/poplarport/node/platform_client.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>      // uint64_t
+#include <functional>   // function
+#include <optional>     // optional
+#include <string>       // string
+#include <system_error> // error_code
+
+#include "poplarport/control/client.hpp"
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/core/time.hpp"
+#include "poplarport/net/event_loop.hpp"
+
+namespace poplarport::node
+{
+
+/// @brief Result of a read or a watch.
+struct platform_read
+{
+    bool answered{false};               ///< the platform answered, also when the object does not exist
+    core::version version{0};           ///< zero when there is no object, or no newer one for a watch
+    std::optional<std::string> value{}; ///< JSON text
+};
+
+/// @brief Result of a conditional write.
+enum class platform_write
+{
+    written,
+    refused, ///< the object has another version
+    lost     ///< no answer, or one that does not tell whether the write took effect
+};
+
+/// @brief Client of the platform's object API; counts its calls.
+class platform_client
+{
+  public:
+    using read_hook = std::function<void(const platform_read&)>;
+    using write_hook = std::function<void(platform_write)>;
+
+    /// @param[in] loop    loop of the node
+    /// @param[in] address address of the platform
+    platform_client(net::event_loop& loop, core::socket_address address);
+
+    /// @brief Reads an object.
+    void read(const std::string& key, read_hook hook);
+
+    /// @brief Waits for a version of an object above a given one.
+    /// @param[in] key     key of the object
+    /// @param[in] after   version that is held
+    /// @param[in] timeout longest wait at the platform
+    void watch(const std::string& key, core::version after, core::duration timeout, read_hook hook);
+
+    /// @brief Writes an object if its version is still the given one; zero: if it does not exist.
+    void write(const std::string& key, const std::string& value, core::version expected, write_hook hook);
+
+    /// @return calls sent since the start
+    [[nodiscard]] std::uint64_t calls() const noexcept
+    {
+        return this->sent;
+    }
+
+    /// @return calls without a usable answer since the start
+    [[nodiscard]] std::uint64_t failures() const noexcept
+    {
+        return this->failed;
+    }
+
+  private:
+    void get(const std::string& target, core::duration timeout, read_hook hook);
+
+    control::client client;
+    core::socket_address platform;
+    std::uint64_t sent{0};
+    std::uint64_t failed{0};
+};
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/include/poplarport/node/service_router.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // shared_ptr, unique_ptr
+#include <optional>   // optional
+#include <random>     // mt19937_64
+#include <string>     // string
+#include <vector>     // vector
+
+#include "poplarport/attempts/call_action.hpp"
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/time.hpp"
+#include "poplarport/manifest/service_document.hpp"
+#include "poplarport/membership/member.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/node/call_driver.hpp"
+#include "poplarport/node/receiver.hpp"
+#include "poplarport/peer/link.hpp"
+#include "poplarport/routing/router.hpp"
+
+namespace poplarport::node
+{
+
+/// @brief Identity of a node, from its settings.
+struct node_identity
+{
+    core::node_id id;
+    std::string availability_zone;
+    std::string cluster_key; ///< shown to peers with each call
+};
+
+/// @brief Chooses endpoints of one service and opens attempts to them, over links that it owns.
+class service_router
+{
+  public:
+    /// @brief Hooks to the rest of the node.
+    struct hooks
+    {
+        /// A peer served a call under a version of the service's configuration.
+        std::function<void(const core::node_id& peer, core::version version)> on_version_seen;
+    };
+
+    /// @param[in] loop     loop of the node
+    /// @param[in] identity identity of the node; must outlive the router
+    /// @param[in] service  name of the service
+    /// @param[in] random   random engine of the node
+    /// @param[in] events   hooks to the rest of the node
+    service_router(net::event_loop& loop, const node_identity& identity, std::string service, std::mt19937_64& random,
+                   hooks events);
+    ~service_router();
+    service_router(const service_router&) = delete;
+    service_router& operator=(const service_router&) = delete;
+
+    /// @brief Sets the receiving side of this node, when it serves this service.
+    void set_local(receiver* value) noexcept;
+
+    /// @brief Puts the configuration of the service in force.
+    void apply(const manifest::service_document& document, core::version version);
+
+    /// @brief Replaces the live members of the service.
+    void set_members(const std::vector<membership::member>& members);
+
+    /// @brief Opens an attempt to an endpoint that it chooses.
+    /// @return nothing when no endpoint is left
+    [[nodiscard]] std::optional<opened_attempt> open(const attempts::start_parameters& parameters,
+                                                     const http::request_head& head,
+                                                     const call_description& description,
+                                                     attempt_channel::hooks events);
+
+    /// @brief Lists peers that are better placed than this node, best first.
+    [[nodiscard]] std::vector<core::node_id> better_peers() const;
+
+    /// @return the expected wait at the best peer, with the travel
+    [[nodiscard]] std::optional<core::duration> wait_elsewhere() const;
+
+    /// @brief An endpoint announced free slots.
+    void on_idle_hint(const core::node_id& id, std::uint32_t free_slots);
+
+    /// @return a link to a member, or nullptr when it is not a member
+    [[nodiscard]] peer::link* link_to_member(const core::node_id& id);
+
+    /// @return a link to an address; it stays as long as the address is that of an endpoint or is used for pulls
+    [[nodiscard]] peer::link& link_to(const core::socket_address& address);
+
+    /// @return the number of endpoints that are connected to
+    [[nodiscard]] std::size_t endpoint_count() const noexcept
+    {
+        return this->router->size();
+    }
+
+    /// @return counters of all links
+    [[nodiscard]] peer::counters link_counters() const;
+
+  private:
+    [[nodiscard]] std::optional<routing::endpoint> choose(const attempts::start_parameters& parameters);
+    [[nodiscard]] bool local_has_room(const attempts::start_parameters& parameters) const;
+    [[nodiscard]] std::shared_ptr<attempt_channel> open_local(const http::request_head& head,
+                                                              const call_description& description,
+                                                              const attempts::start_parameters& parameters,
+                                                              attempt_channel::hooks events);
+    [[nodiscard]] std::shared_ptr<attempt_channel>
+    open_remote(const routing::endpoint& target, const http::request_head& head, const call_description& description,
+                const attempts::start_parameters& parameters, attempt_channel::hooks events);
+    [[nodiscard]] attempt_channel::hooks track(const core::node_id& id, attempt_channel::hooks events);
+    void rebuild_router();
+    void update_endpoints();
+    void drop_unused_links();
+
+    net::event_loop* loop;
+    const node_identity* identity;
+    std::string service;
+    std::mt19937_64* random;
+    hooks events;
+    receiver* local{nullptr};
+    core::version config_version{0};
+    std::uint32_t connection_limit{256};
+    std::uint32_t tail_weight_per_mille{500};
+    core::duration zone_cost{std::chrono::milliseconds{1}};
+    std::unique_ptr<routing::router> router;
+    std::vector<membership::member> members{};
+    std::map<core::node_id, routing::endpoint> endpoints{};
+    std::map<core::socket_address, std::unique_ptr<peer::link>> links{};
+    std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
+};
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/include/poplarport/node/settings.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef> // size_t
+#include <string>  // string
+
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/settings/document.hpp"
+
+namespace poplarport::node
+{
+
+/// @brief Settings of `poplar-node`, from its TOML file.
+struct node_settings
+{
+    core::node_id id;
+    std::string service;
+    std::string availability_zone;
+    std::string cluster_secret; ///< shared by all nodes of an operator; never logged
+    core::socket_address callers;
+    core::socket_address peers; ///< TCP for sessions and UDP for membership
+    core::socket_address administration;
+    core::socket_address upstream;
+    core::socket_address platform;
+    std::size_t descriptors{4096}; ///< greatest number of open descriptors
+    std::string log_level{"info"};
+};
+
+/// @brief Reads the settings; faults are recorded in the document.
+[[nodiscard]] node_settings read_settings(const settings::document& document);
+
+} // namespace poplarport::node
--- a/libs/node/src/call_driver.cpp
+++ b/libs/node/src/call_driver.cpp
@@ -6,25 +6,12 @@
 
 #include "poplarport/attempts/errors.hpp"
 #include "poplarport/node/detail/forwarding.hpp"
+#include "poplarport/node/detail/overloaded.hpp"
 #include "poplarport/node/errors.hpp"
 
 namespace poplarport::node
 {
 
-namespace
-{
-
-template <typename... Functions>
-struct overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
-template <typename... Functions>
-overloaded(Functions...) -> overloaded<Functions...>;
-
-} // namespace
-
 call_driver::call_driver(net::event_loop& owner, std::shared_ptr<http::server_exchange> received,
                          call_description described, const attempts::call_request& request,
                          const attempts::call_limits& limits, attempts::retry_budget& budget, std::mt19937_64& engine,
@@ -277,21 +264,22 @@
 {
     for (const auto& action : actions)
     {
-        std::visit(overloaded{[this](const attempts::start_attempt& start) { this->open(start.parameters); },
-                              [this](const attempts::start_hedge& start) { this->open(start.parameters); },
-                              [this](const attempts::cancel_attempt& cancel)
-                              {
-                                  if (const auto channel = std::exchange(this->slot_of(cancel.attempt).channel, {}))
-                                  {
-                                      channel->cancel();
-                                  }
-                              },
-                              [this](const attempts::forward_head& forward) { this->forward_head(forward.attempt); },
-                              [this](const attempts::finish& ending)
-                              {
-                                  this->finish(ending);
-                              }},
-                   action);
+        std::visit(
+            detail::overloaded{[this](const attempts::start_attempt& start) { this->open(start.parameters); },
+                               [this](const attempts::start_hedge& start) { this->open(start.parameters); },
+                               [this](const attempts::cancel_attempt& cancel)
+                               {
+                                   if (const auto channel = std::exchange(this->slot_of(cancel.attempt).channel, {}))
+                                   {
+                                       channel->cancel();
+                                   }
+                               },
+                               [this](const attempts::forward_head& forward) { this->forward_head(forward.attempt); },
+                               [this](const attempts::finish& ending)
+                               {
+                                   this->finish(ending);
+                               }},
+            action);
     }
 }
 
--- /dev/null
+++ b/libs/node/src/document_pull.cpp
@@ -0,0 +1,118 @@
+#include "poplarport/node/detail/document_pull.hpp"
+
+#include <memory>  // make_shared
+#include <utility> // move
+#include <vector>  // vector
+
+#include <nlohmann/json.hpp>
+
+#include "poplarport/node/detail/peer_channel.hpp"
+
+namespace poplarport::node::detail
+{
+
+namespace
+{
+
+constexpr int ok = 200;
+constexpr int no_content = 204;
+constexpr const char* cbor_type = "application/cbor";
+
+// A document has at most 1 MB; the rest is room for the encoding.
+constexpr std::size_t greatest_reply_bytes = 2U << 20U;
+
+std::optional<pulled_document> parse_pulled(const std::string& body)
+{
+    const auto value = nlohmann::json::from_cbor(body, true, false);
+    if (!value.is_object() || !value.contains("version") || !value["version"].is_number_unsigned() ||
+        !value.contains("content") || !value["content"].is_string())
+    {
+        return std::nullopt;
+    }
+    return pulled_document{value["version"].get<core::version>(), value["content"].get<std::string>()};
+}
+
+} // namespace
+
+void request_document(peer::link& link, const std::string& cluster_key, const std::string& target,
+                      std::function<void(const document_reply&)> hook)
+{
+    http::request_head head;
+    head.method = "GET";
+    head.target = target;
+    head.fields.add("host", core::to_string(link.address()));
+    head.fields.add(cluster_key_field, cluster_key);
+    const auto reply = std::make_shared<document_reply>();
+    const auto finish = [reply, hook = std::move(hook)](bool complete)
+    {
+        hook(complete ? *reply : document_reply{});
+    };
+    peer::client_call::hooks hooks;
+    hooks.on_head = [reply](http::response_head& answer)
+    {
+        reply->status = answer.status;
+    };
+    hooks.on_body = [reply](std::string_view bytes)
+    {
+        if (reply->body.size() + bytes.size() <= greatest_reply_bytes)
+        {
+            reply->body.append(bytes);
+        }
+    };
+    hooks.on_end = [finish]
+    {
+        finish(true);
+    };
+    hooks.on_failed = [finish](const peer::call_failure&)
+    {
+        finish(false);
+    };
+    // The link keeps the call until it ends.
+    static_cast<void>(link.start(head, std::move(hooks)));
+}
+
+void pull_document(peer::link& link, const std::string& cluster_key, const std::string& target,
+                   std::function<void(const pull_result&)> hook)
+{
+    request_document(link, cluster_key, target,
+                     [hook = std::move(hook)](const document_reply& reply)
+                     {
+                         pull_result result;
+                         result.answered = reply.status == ok || reply.status == no_content;
+                         if (reply.status == ok)
+                         {
+                             result.document = parse_pulled(reply.body);
+                             result.answered = result.document.has_value();
+                         }
+                         hook(result);
+                     });
+}
+
+peer_document make_document_answer(const configuration::document* held, core::version above)
+{
+    if (held == nullptr || held->version <= above)
+    {
+        return {no_content, cbor_type, {}};
+    }
+    const auto bytes = nlohmann::json::to_cbor({{"version", held->version}, {"content", held->content}});
+    return {ok, cbor_type, std::string{bytes.begin(), bytes.end()}};
+}
+
+std::string_view query_parameter(std::string_view target, std::string_view name)
+{
+    const auto question = target.find('?');
+    auto rest = question == std::string_view::npos ? std::string_view{} : target.substr(question + 1);
+    while (!rest.empty())
+    {
+        const auto end = rest.find('&');
+        const auto part = rest.substr(0, end);
+        if (part.size() > name.size() && part.starts_with(name) && part[name.size()] == '=')
+        {
+            return part.substr(name.size() + 1);
+        }
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+    }
+    return {};
+}
+
+} // namespace poplarport::node::detail
--- a/libs/node/src/entry.cpp
+++ b/libs/node/src/entry.cpp
@@ -24,12 +24,12 @@
 constexpr int not_found = 404;
 constexpr int content_too_large = 413;
 constexpr int too_many_requests = 429;
-constexpr int service_unavailable = 503;
 
 constexpr std::chrono::seconds housekeeping_interval{30};
 
-// Deeper chains are not expected; the bound keeps a forged value from growing without limit.
-constexpr std::uint32_t greatest_path_number = 1000;
+// The bounds of the call metadata between nodes; a caller's greater value is taken as the bound.
+constexpr std::uint32_t greatest_depth = 100;
+constexpr std::uint32_t greatest_attempt = 1000;
 
 std::optional<std::string_view> find_field(const http::request_head& head, std::string_view name)
 {
@@ -46,11 +46,12 @@
 }
 
 // Depth and attempt only restrict retries, so a missing or malformed value is taken as the given default.
-std::uint32_t path_number(const http::request_head& head, std::string_view name, std::uint32_t fallback)
+std::uint32_t path_number(const http::request_head& head, std::string_view name, std::uint32_t fallback,
+                          std::uint32_t greatest)
 {
     const auto text = find_field(head, name);
     const auto value = text ? parse_number(*text) : std::nullopt;
-    return value ? std::min(*value, greatest_path_number) : fallback;
+    return value ? std::min(*value, greatest) : fallback;
 }
 
 } // namespace
@@ -73,6 +74,7 @@
     this->server =
         std::make_unique<http::server>(http::server::builder{}
                                            .listen_on(address)
+                                           .listen_later()
                                            .on_request([this](const std::shared_ptr<http::server_exchange>& exchange)
                                                        { this->handle_request(exchange); })
                                            .on_refusal(on_refusal)
@@ -97,6 +99,16 @@
     }
 }
 
+void entry::close_idle()
+{
+    this->server->close_idle();
+}
+
+void entry::start_listening()
+{
+    this->server->start_listening();
+}
+
 void entry::stop_listening()
 {
     this->server->stop_listening();
@@ -189,8 +201,8 @@
     description.repeatable = manifest::is_repeatable(rules, head.method, head.target);
     // After a pause of this process the request may have waited for as long as the loop is late.
     description.deadline = this->loop->now() + deadline - this->loop->stall();
-    description.depth = path_number(head, "Poplar-Depth", 0);
-    description.attempt = std::max(path_number(head, "Poplar-Attempt", 1), 1U);
+    description.depth = path_number(head, "Poplar-Depth", 0, greatest_depth);
+    description.attempt = std::max(path_number(head, "Poplar-Attempt", 1, greatest_attempt), 1U);
     description.body_limit_bytes = rules.upstream.body_limit_bytes;
 
     attempts::call_request request;
--- /dev/null
+++ b/libs/node/src/membership_task.cpp
@@ -0,0 +1,325 @@
+#include "poplarport/node/membership_task.hpp"
+
+#include <algorithm> // min
+#include <chrono>    // milliseconds, seconds, system_clock
+#include <utility>   // move
+
+#include "poplarport/node/detail/overloaded.hpp"
+#include "poplarport/node/detail/seeds_codec.hpp"
+#include "poplarport/observability/log_record.hpp"
+#include "poplarport/wire/datagram.hpp"
+#include "poplarport/wire/member_list.hpp"
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds first_seeds_back_off{200};
+constexpr std::chrono::seconds longest_seeds_back_off{30};
+
+core::incarnation incarnation_of_this_start()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<core::incarnation>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+membership::wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+membership::member make_member(const node_identity& identity, const membership_parameters& parameters)
+{
+    membership::member self;
+    self.id = identity.id;
+    self.incarnation = incarnation_of_this_start();
+    self.availability_zone = identity.availability_zone;
+    self.peer_address = parameters.peers;
+    self.http_address = parameters.callers;
+    return self;
+}
+
+membership::detector_settings detector_settings()
+{
+    membership::detector_settings settings;
+    // One message per node at start is cheap for the other members, so a short spread is enough.
+    settings.start_jitter = std::chrono::milliseconds{200};
+    return settings;
+}
+
+std::string seeds_key(const std::string& service)
+{
+    return "seeds/" + service;
+}
+
+const char* to_string(membership::member_change change)
+{
+    switch (change)
+    {
+    case membership::member_change::joined:
+        return "member_joined";
+    case membership::member_change::updated:
+        return "member_updated";
+    case membership::member_change::suspected:
+        return "member_suspected";
+    case membership::member_change::recovered:
+        return "member_recovered";
+    case membership::member_change::failed:
+        return "member_failed";
+    case membership::member_change::left:
+        return "member_left";
+    case membership::member_change::superseded:
+        break;
+    }
+    return "superseded";
+}
+
+} // namespace
+
+membership_task::membership_task(net::event_loop& owner, const node_identity& identity,
+                                 membership_parameters parameters, platform_client& client, std::mt19937_64& engine,
+                                 hooks values)
+    : loop(&owner), own(std::move(parameters)), platform(&client), random(&engine), events(std::move(values)),
+      detector(membership::detector::builder{}
+                   .service(own.service)
+                   .self(make_member(identity, own))
+                   .settings(detector_settings())
+                   .build(owner.now(), engine)),
+      duty(own.service, identity.id, {}, owner.now(), engine), wakeup(owner, [this] { this->tick(); }),
+      seeds_wakeup(owner, [this] { this->keep_seeds(); }),
+      socket(owner, own.peers,
+             [this](const core::socket_address& from, std::string_view bytes) { this->handle_datagram(from, bytes); }),
+      seeds_back_off(first_seeds_back_off)
+{
+    this->schedule();
+    this->read_seeds_at_start();
+}
+
+membership_task::~membership_task()
+{
+    *this->alive = false;
+}
+
+void membership_task::drain()
+{
+    this->detector.drain(this->loop->now());
+    this->events.on_members(this->members());
+    this->schedule();
+}
+
+void membership_task::leave()
+{
+    this->act_on(this->detector.leave(this->loop->now(), *this->random));
+}
+
+void membership_task::set_configuration_version(core::version version)
+{
+    this->detector.set_configuration_version(version, this->loop->now());
+    this->schedule();
+}
+
+std::size_t membership_task::send_idle_hint(const core::socket_address& to, std::uint32_t free_slots)
+{
+    const auto bytes = wire::encode(wire::idle_hint{this->detector.self().id, free_slots}, this->own.cluster_secret);
+    this->send(to, bytes);
+    return bytes.size();
+}
+
+std::vector<membership::member> membership_task::members() const
+{
+    return this->detector.members();
+}
+
+peer_document membership_task::answer_pull(std::uint64_t known_hash) const
+{
+    constexpr int ok = 200;
+    return {ok, "application/cbor", wire::encode(this->detector.list(known_hash, this->loop->now()))};
+}
+
+void membership_task::handle_datagram(const core::socket_address& from, std::string_view bytes)
+{
+    ++this->counted.datagrams_in;
+    this->counted.bytes_in += bytes.size();
+    std::error_code error;
+    const auto message = wire::decode(bytes, this->own.cluster_secret, error);
+    if (!message)
+    {
+        ++this->counted.refused;
+        return;
+    }
+    std::visit(
+        detail::overloaded{[&](const membership::message& value)
+                           { this->act_on(this->detector.receive(from, value, this->loop->now(), *this->random)); },
+                           [&](const wire::idle_hint& hint)
+                           {
+                               this->events.on_idle_hint(hint.node, hint.free_slots);
+                           }},
+        *message);
+    this->schedule();
+}
+
+void membership_task::tick()
+{
+    this->act_on(this->detector.tick(this->loop->now(), *this->random));
+    this->schedule();
+}
+
+void membership_task::act_on(const membership::detector_output& output)
+{
+    for (const auto& each : output.messages)
+    {
+        this->send(each.to, wire::encode(each.message, this->own.cluster_secret));
+    }
+    for (const auto& event : output.events)
+    {
+        const bool is_routine = event.change == membership::member_change::updated;
+        observability::log_record{to_string(event.change)}
+            .with("service", this->own.service)
+            .with("member", event.member.id)
+            .with("draining", event.member.draining ? "true" : "false")
+            .write(is_routine ? observability::log_level::debug : observability::log_level::info);
+        if (event.change == membership::member_change::superseded)
+        {
+            this->events.on_superseded();
+        }
+    }
+    if (!output.events.empty())
+    {
+        const auto live = this->members();
+        this->events.on_members(live);
+        this->duty.on_members(live, this->loop->now(), *this->random);
+        this->schedule_seeds();
+    }
+}
+
+void membership_task::send(const core::socket_address& to, const std::string& bytes)
+{
+    if (this->socket.send(to, bytes))
+    {
+        ++this->counted.datagrams_out;
+        this->counted.bytes_out += bytes.size();
+    }
+}
+
+void membership_task::read_seeds_at_start()
+{
+    this->platform->read(seeds_key(this->own.service),
+                         [this, still_alive = this->alive](const platform_read& result)
+                         {
+                             if (!*still_alive)
+                             {
+                                 return;
+                             }
+                             const auto document = result.value ? detail::decode_seeds(*result.value) : std::nullopt;
+                             if (document)
+                             {
+                                 this->detector.set_seeds(membership::addresses_of(*document));
+                                 this->schedule();
+                             }
+                             this->seeds_known = result.answered;
+                             if (result.answered)
+                             {
+                                 const auto action =
+                                     this->duty.on_read(document, result.version, this->members(), wall_now());
+                                 if (action)
+                                 {
+                                     this->execute(*action);
+                                 }
+                             }
+                             this->seeds_wakeup.schedule(this->seeds_back_off);
+                         });
+}
+
+void membership_task::keep_seeds()
+{
+    if (!this->seeds_known || this->members().size() <= 1)
+    {
+        // A node that knows no other member reads the seeds again, with growing intervals: another first node may
+        // have written them in the meantime.
+        this->seeds_back_off = std::min<core::duration>(this->seeds_back_off * 2, longest_seeds_back_off);
+        this->read_seeds_at_start();
+        return;
+    }
+    if (const auto action = this->duty.tick(this->members(), this->loop->now(), *this->random))
+    {
+        this->execute(*action);
+    }
+    this->schedule_seeds();
+}
+
+void membership_task::schedule_seeds()
+{
+    if (this->seeds_known && this->members().size() > 1)
+    {
+        this->seeds_wakeup.schedule(this->duty.next_wakeup() - this->loop->now());
+    }
+}
+
+void membership_task::execute(const membership::seed_action& action)
+{
+    const auto key = seeds_key(this->own.service);
+    std::visit(detail::overloaded{[&](const membership::read_seeds&)
+                                  {
+                                      this->platform->read(key,
+                                                           [this, still_alive = this->alive](const platform_read& read)
+                                                           {
+                                                               if (*still_alive)
+                                                               {
+                                                                   this->handle_seeds(read);
+                                                               }
+                                                           });
+                                  },
+                                  [&](const membership::write_seeds& write)
+                                  {
+                                      this->platform->write(key, detail::encode_seeds(write.document),
+                                                            write.expected_version,
+                                                            [this, still_alive = this->alive](platform_write result)
+                                                            {
+                                                                if (*still_alive)
+                                                                {
+                                                                    this->handle_written(result);
+                                                                }
+                                                            });
+                                  }},
+               action);
+}
+
+void membership_task::handle_seeds(const platform_read& result)
+{
+    if (!result.answered)
+    {
+        this->duty.on_failed(this->loop->now(), *this->random);
+        this->schedule_seeds();
+        return;
+    }
+    this->duty.on_done();
+    const auto document = result.value ? detail::decode_seeds(*result.value) : std::nullopt;
+    if (document)
+    {
+        this->act_on(this->detector.introduce(membership::addresses_of(*document)));
+    }
+    if (const auto next = this->duty.on_read(document, result.version, this->members(), wall_now()))
+    {
+        this->execute(*next);
+    }
+}
+
+void membership_task::handle_written(platform_write result)
+{
+    if (result == platform_write::lost)
+    {
+        this->duty.on_failed(this->loop->now(), *this->random);
+        this->schedule_seeds();
+        return;
+    }
+    this->duty.on_done();
+}
+
+void membership_task::schedule()
+{
+    this->wakeup.schedule(this->detector.next_wakeup() - this->loop->now());
+}
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/src/node.cpp
@@ -0,0 +1,363 @@
+#include "poplarport/node/node.hpp"
+
+#include <algorithm>   // max, min
+#include <array>       // array
+#include <charconv>    // from_chars
+#include <chrono>      // milliseconds, seconds
+#include <random>      // random_device
+#include <string_view> // string_view
+#include <utility>     // move
+
+#include <openssl/evp.h>
+
+#include "poplarport/manifest/errors.hpp"
+#include "poplarport/node/detail/document_pull.hpp"
+#include "poplarport/node/detail/node_state.hpp"
+#include "poplarport/observability/log_record.hpp"
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+// Callers learn of the stop by `Connection: close`; idle connections stay open for this long, because a request may
+// already be on its way on them.
+constexpr std::chrono::milliseconds idle_connection_grace{500};
+
+// Time for the announcement of the end to leave the process.
+constexpr std::chrono::milliseconds farewell_time{50};
+
+constexpr std::chrono::milliseconds drain_check_interval{20};
+constexpr std::chrono::seconds default_drain_time{30};
+
+// The key that is shown to peers is derived from the secret, so that the secret itself never travels.
+std::string derive_cluster_key(const std::string& secret)
+{
+    constexpr std::string_view purpose = "poplarport peer key 1:";
+    const std::string input = std::string{purpose} + secret;
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int length = 0;
+    EVP_Digest(input.data(), input.size(), digest.data(), &length, EVP_sha256(), nullptr);
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (unsigned int index = 0; index < length; ++index)
+    {
+        text += digits[digest.at(index) >> 4U];
+        text += digits[digest.at(index) & 0xfU];
+    }
+    return text;
+}
+
+std::uint64_t parse_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+measuring::budget empty_budget(core::time_point now)
+{
+    return measuring::budget::builder{}.bytes(0).processor_time(std::chrono::nanoseconds{0}).build(now);
+}
+
+} // namespace
+
+node::state::state(net::event_loop& owner, const node_settings& values, std::function<void()> stopped_hook)
+    : loop(&owner), settings(values),
+      on_stopped(std::move(stopped_hook)), identity{values.id, values.availability_zone,
+                                                    derive_cluster_key(values.cluster_secret)},
+      random(std::random_device{}()), platform(owner, values.platform), measuring_budget(empty_budget(owner.now())),
+      drain_timer(owner, [this] { this->check_drained(); }), drain_time(default_drain_time)
+{
+}
+
+void node::state::connect()
+{
+    this->own_router = std::make_unique<service_router>(
+        *this->loop, this->identity, this->settings.service, this->random,
+        service_router::hooks{[this](const core::node_id& peer, core::version version)
+                              {
+                                  this->configuration->on_version_seen(this->settings.service, peer, version);
+                              }});
+    configuration_task::hooks configuration_hooks;
+    configuration_hooks.on_document = [this](const auto& document, core::version version)
+    {
+        this->on_document(document, version);
+    };
+    configuration_hooks.router_of = [this](const std::string& service)
+    {
+        return this->router_of(service);
+    };
+    this->configuration = std::make_unique<configuration_task>(*this->loop, this->identity, this->platform,
+                                                               this->random, std::move(configuration_hooks));
+    peer_listener::hooks peer_hooks;
+    peer_hooks.config_version = [this]
+    {
+        return this->configuration->version_of(this->settings.service);
+    };
+    peer_hooks.document = [this](std::string_view target)
+    {
+        return this->answer_peer(target);
+    };
+    this->peers = std::make_unique<peer_listener>(*this->loop, this->settings.peers, this->identity,
+                                                  this->settings.service, std::move(peer_hooks));
+    entry::hooks entry_hooks;
+    entry_hooks.open = [this](const auto& parameters, const auto& head, const auto& description,
+                              auto events) -> std::optional<opened_attempt>
+    {
+        auto* const router = this->router_of(description.service);
+        return router == nullptr ? std::nullopt : router->open(parameters, head, description, std::move(events));
+    };
+    entry_hooks.on_finished = [this](const call_description& description, const call_result& result)
+    {
+        this->metrics.count_call(description.tenant, description.traffic_class, result.outcome, result.latency);
+    };
+    entry_hooks.on_refused = [this](std::error_code reason)
+    {
+        this->metrics.count_refusal(reason.value());
+    };
+    this->callers = std::make_unique<entry>(*this->loop, this->settings.callers, this->directory, this->random,
+                                            this->settings.id, std::move(entry_hooks));
+    membership_task::hooks membership_hooks;
+    membership_hooks.on_members = [this](const auto& members)
+    {
+        this->on_own_members(members);
+    };
+    membership_hooks.on_idle_hint = [this](const core::node_id& id, std::uint32_t free_slots)
+    {
+        this->own_router->on_idle_hint(id, free_slots);
+    };
+    membership_hooks.on_superseded = [this]
+    {
+        this->drain();
+    };
+    const membership_parameters parameters{this->settings.service, this->callers->address(), this->peers->address(),
+                                           this->settings.cluster_secret};
+    this->membership = std::make_unique<membership_task>(*this->loop, this->identity, parameters, this->platform,
+                                                         this->random, std::move(membership_hooks));
+    control::server::builder builder{*this->loop};
+    builder.listen(this->settings.administration);
+    this->add_routes(builder);
+    this->administration = builder.build();
+    this->add_gauges();
+    this->on_own_members(this->membership->members());
+    this->configuration->follow(this->settings.service);
+}
+
+void node::state::on_document(const std::shared_ptr<const manifest::service_document>& document, core::version version)
+{
+    this->directory.insert(document);
+    if (document->rules.name == this->settings.service)
+    {
+        this->on_own_document(*document, version);
+        return;
+    }
+    if (auto* const router = this->router_of(document->rules.name))
+    {
+        router->apply(*document, version);
+    }
+}
+
+void node::state::on_own_document(const manifest::service_document& document, core::version version)
+{
+    const auto& rules = document.rules;
+    this->drain_time = std::max<core::duration>(rules.upstream.drain_time, std::chrono::seconds{1});
+    measuring::allowance allowance;
+    allowance.per_window = {rules.measuring.bytes_per_second,
+                            std::chrono::milliseconds{rules.measuring.processor_time_per_mille}};
+    allowance.window = std::chrono::seconds{1};
+    allowance.burst = std::chrono::milliseconds{200};
+    this->measuring_budget.set_limit(allowance, this->loop->now());
+    this->own_router->apply(document, version);
+    if (!this->receiving)
+    {
+        receiver::hooks hooks;
+        hooks.better_peers = [this]
+        {
+            return this->own_router->better_peers();
+        };
+        hooks.on_slot_free = [this]
+        {
+            this->on_slot_free();
+        };
+        this->receiving = std::make_unique<receiver>(*this->loop, this->settings.upstream, rules, std::move(hooks));
+        this->own_router->set_local(this->receiving.get());
+        this->peers->set_receiver(this->receiving.get());
+        if (this->draining)
+        {
+            this->receiving->drain();
+        }
+    }
+    else
+    {
+        this->receiving->apply(rules);
+    }
+    this->membership->set_configuration_version(version);
+    this->follow_called_services(rules);
+    if (!this->draining)
+    {
+        this->callers->start_listening();
+    }
+}
+
+void node::state::follow_called_services(const manifest::service& rules)
+{
+    for (const auto& name : rules.calls)
+    {
+        if (this->called.contains(name) || name == this->settings.service)
+        {
+            continue;
+        }
+        auto& added = this->called[name];
+        added.router = std::make_unique<service_router>(
+            *this->loop, this->identity, name, this->random,
+            service_router::hooks{[this, name](const core::node_id& peer, core::version version)
+                                  {
+                                      this->configuration->on_version_seen(name, peer, version);
+                                  }});
+        auto* const router = added.router.get();
+        added.observer =
+            std::make_unique<observer_task>(*this->loop, this->identity, name, *router, this->platform, this->random,
+                                            [this, name, router](const std::vector<membership::member>& members)
+                                            {
+                                                router->set_members(members);
+                                                this->configuration->set_members(name, members);
+                                            });
+        this->configuration->follow(name);
+    }
+}
+
+void node::state::on_own_members(const std::vector<membership::member>& members)
+{
+    this->own_router->set_members(members);
+    this->configuration->set_members(this->settings.service, members);
+}
+
+void node::state::on_slot_free()
+{
+    // An idle hint goes to one member in turn, and only within the measuring budget.
+    constexpr std::uint64_t hint_bytes = 128;
+    constexpr std::chrono::microseconds hint_processor_time{20};
+    const auto members = this->membership->members();
+    if (members.size() <= 1)
+    {
+        return;
+    }
+    const auto& target = members[this->hint_turn++ % members.size()];
+    const auto load = this->receiving->load();
+    if (target.id == this->settings.id || load.in_flight * 2 > load.slots ||
+        !this->measuring_budget.try_spend(hint_bytes, hint_processor_time, this->loop->now()))
+    {
+        return;
+    }
+    this->membership->send_idle_hint(target.peer_address, load.slots - load.in_flight);
+}
+
+service_router* node::state::router_of(const std::string& service)
+{
+    if (service == this->settings.service)
+    {
+        return this->own_router.get();
+    }
+    const auto position = this->called.find(service);
+    return position == this->called.end() ? nullptr : position->second.router.get();
+}
+
+peer_document node::state::answer_peer(std::string_view target)
+{
+    constexpr std::string_view config_prefix = "/.poplar/config/";
+    constexpr std::string_view members_prefix = "/.poplar/members/";
+    constexpr int not_found = 404;
+    const auto path = target.substr(0, target.find('?'));
+    if (path.starts_with(config_prefix))
+    {
+        return this->configuration->answer_pull(std::string{path.substr(config_prefix.size())},
+                                                parse_number(detail::query_parameter(target, "above")));
+    }
+    if (path.starts_with(members_prefix) && path.substr(members_prefix.size()) == this->settings.service)
+    {
+        return this->membership->answer_pull(parse_number(detail::query_parameter(target, "hash")));
+    }
+    return {not_found, "text/plain", "no such document\n"};
+}
+
+void node::state::drain()
+{
+    if (this->draining)
+    {
+        return;
+    }
+    this->draining = true;
+    this->drain_started = this->loop->now();
+    observability::log_record{"drain_started"}
+        .with("node", this->settings.id)
+        .with("calls_in_progress", static_cast<std::int64_t>(this->callers->calls_in_progress()))
+        .write(observability::log_level::info);
+    // Peers learn of the stop before the refusals begin, so that few calls have to be moved.
+    this->membership->drain();
+    if (this->receiving)
+    {
+        this->receiving->drain();
+    }
+    this->peers->drain();
+    this->callers->drain();
+    this->drain_timer.schedule(idle_connection_grace);
+}
+
+void node::state::check_drained()
+{
+    const auto waited = this->loop->now() - this->drain_started;
+    const bool expired = waited >= this->drain_time;
+    this->callers->stop_listening();
+    this->callers->close_idle();
+    const bool is_idle = this->callers->calls_in_progress() == 0 && this->callers->connection_count() == 0 &&
+                         (!this->receiving || this->receiving->is_idle()) && this->peers->call_count() == 0;
+    if (!is_idle && !expired)
+    {
+        this->drain_timer.schedule(drain_check_interval);
+        return;
+    }
+    if (!std::exchange(this->stopped, true))
+    {
+        observability::log_record{"drain_finished"}
+            .with("node", this->settings.id)
+            .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())
+            .with("complete", is_idle ? "true" : "false")
+            .write(is_idle ? observability::log_level::info : observability::log_level::warning);
+        this->membership->leave();
+        this->drain_timer.schedule(farewell_time);
+        return;
+    }
+    this->on_stopped();
+}
+
+node::node(net::event_loop& loop, const node_settings& settings, std::function<void()> on_stopped)
+    : data(std::make_unique<state>(loop, settings, std::move(on_stopped)))
+{
+    this->data->connect();
+}
+
+node::~node() = default;
+
+void node::drain()
+{
+    this->data->drain();
+}
+
+core::socket_address node::callers() const
+{
+    return this->data->callers->address();
+}
+
+core::socket_address node::peers() const
+{
+    return this->data->peers->address();
+}
+
+core::socket_address node::administration() const
+{
+    return this->data->administration->address();
+}
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/src/observer_task.cpp
@@ -0,0 +1,116 @@
+#include "poplarport/node/observer_task.hpp"
+
+#include <algorithm> // min
+#include <chrono>    // milliseconds, seconds
+#include <utility>   // move
+
+#include "poplarport/node/detail/document_pull.hpp"
+#include "poplarport/node/detail/seeds_codec.hpp"
+#include "poplarport/wire/member_list.hpp"
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds first_back_off{200};
+constexpr std::chrono::seconds longest_back_off{30};
+
+// While members are known, the seeds are read again this rarely, for the case that all known members were replaced.
+constexpr std::chrono::minutes seeds_interval{5};
+
+} // namespace
+
+observer_task::observer_task(net::event_loop& owner, const node_identity& self, std::string name,
+                             service_router& target, platform_client& client, std::mt19937_64& engine,
+                             members_hook hook)
+    : loop(&owner), identity(&self), service(std::move(name)), router(&target), platform(&client), random(&engine),
+      on_members(std::move(hook)), observer(self.id, {}, owner.now(), engine), wakeup(owner, [this] { this->tick(); }),
+      seeds_wakeup(owner, [this] { this->read_seeds(); }), seeds_back_off(first_back_off)
+{
+    this->read_seeds();
+}
+
+observer_task::~observer_task()
+{
+    *this->alive = false;
+}
+
+std::vector<membership::member> observer_task::members() const
+{
+    return this->observer.members();
+}
+
+void observer_task::read_seeds()
+{
+    this->platform->read("seeds/" + this->service,
+                         [this, still_alive = this->alive](const platform_read& result)
+                         {
+                             if (!*still_alive)
+                             {
+                                 return;
+                             }
+                             const auto document = result.value ? detail::decode_seeds(*result.value) : std::nullopt;
+                             if (document)
+                             {
+                                 this->observer.set_seeds(membership::addresses_of(*document));
+                                 this->schedule();
+                             }
+                         });
+    this->seeds_back_off = std::min<core::duration>(this->seeds_back_off * 2, longest_back_off);
+    this->seeds_wakeup.schedule(this->members().empty() ? this->seeds_back_off : core::duration{seeds_interval});
+}
+
+void observer_task::tick()
+{
+    for (const auto& request : this->observer.tick(this->loop->now(), *this->random))
+    {
+        this->pull(request);
+    }
+    this->schedule();
+}
+
+void observer_task::pull(const membership::list_pull& request)
+{
+    const auto target = "/.poplar/members/" + this->service + "?hash=" + std::to_string(request.known_hash);
+    const auto handle = [this, from = request.from](const detail::document_reply& reply)
+    {
+        const auto now = this->loop->now();
+        std::error_code error;
+        const auto list = reply.status == 0 ? std::nullopt : wire::decode_list(reply.body, error);
+        if (!list)
+        {
+            this->observer.on_failed(from, now, *this->random);
+        }
+        else if (!this->observer.on_list(from, *list, now, *this->random).empty())
+        {
+            this->on_members(this->members());
+        }
+        this->schedule();
+    };
+    // Handled in a later iteration, because a changed list may drop the very link that brought it.
+    detail::request_document(this->router->link_to(request.from), this->identity->cluster_key, target,
+                             [this, handle, still_alive = this->alive](const detail::document_reply& reply)
+                             {
+                                 if (!*still_alive)
+                                 {
+                                     return;
+                                 }
+                                 this->loop->post(
+                                     [handle, reply, still_alive]
+                                     {
+                                         if (*still_alive)
+                                         {
+                                             handle(reply);
+                                         }
+                                     });
+                             });
+}
+
+void observer_task::schedule()
+{
+    this->wakeup.schedule(this->observer.next_wakeup() - this->loop->now());
+}
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/src/peer_call_bridge.cpp
@@ -0,0 +1,113 @@
+#include "poplarport/node/detail/peer_call_bridge.hpp"
+
+#include <utility> // move
+#include <variant> // get_if
+
+#include "poplarport/node/detail/forwarding.hpp"
+#include "poplarport/peer/answer_metadata.hpp"
+
+namespace poplarport::node::detail
+{
+
+peer_call_bridge::peer_call_bridge(std::shared_ptr<peer::server_call> received, std::function<core::version()> version)
+    : call(std::move(received)), config_version(std::move(version))
+{
+}
+
+void peer_call_bridge::start(receiver& target, http::request_head head, received_call received)
+{
+    this->call->set_hooks(this->call_hooks());
+    const bool has_body = head.framing != http::body_framing::none;
+    this->channel = target.start(std::move(head), std::move(received), this->channel_hooks());
+    if (!has_body)
+    {
+        this->channel->finish_request();
+    }
+}
+
+http::server_exchange::hooks peer_call_bridge::call_hooks()
+{
+    // The call's hooks keep the bridge; they are dropped when the call ends.
+    const auto self = this->shared_from_this();
+    return {.on_body =
+                [self](std::string_view bytes)
+            {
+                self->channel->send_body(bytes);
+                self->call->set_reading(self->channel->pending_bytes() <= body_buffer_bytes);
+            },
+            .on_body_end = [self] { self->channel->finish_request(); },
+            .on_writable = [self] { self->channel->set_reading(true); },
+            .on_cancelled =
+                [self](std::error_code)
+            {
+                self->channel->cancel();
+            }};
+}
+
+attempt_channel::hooks peer_call_bridge::channel_hooks()
+{
+    const auto self = this->shared_from_this();
+    return {.on_interim = [self](const http::response_head& interim) { self->call->send_interim(interim); },
+            .on_head = [self](http::response_head& head, const answer_context& context)
+            { self->handle_head(head, context); },
+            .on_body =
+                [self](std::string_view bytes)
+            {
+                self->call->send_body(bytes);
+                if (self->call->pending_bytes() > body_buffer_bytes)
+                {
+                    self->channel->set_reading(false);
+                }
+            },
+            .on_end = [self](const answer_context&) { self->call->finish(); },
+            .on_writable = [self] { self->call->set_reading(true); },
+            .on_failed =
+                [self](const attempt_failure& failure)
+            {
+                self->handle_failure(failure);
+            }};
+}
+
+void peer_call_bridge::handle_head(http::response_head& head, const answer_context& context)
+{
+    this->head_sent = true;
+    http::remove_hop_by_hop(head.fields);
+    remove_internal_fields(head.fields);
+    peer::answer_metadata metadata;
+    metadata.result = core::outcome::answered;
+    metadata.load = context.load.value_or(core::load_report{});
+    metadata.config_version = this->config_version();
+    peer::encode(metadata, head.fields);
+    this->call->send_head(std::move(head));
+}
+
+void peer_call_bridge::handle_failure(const attempt_failure& failure)
+{
+    if (this->head_sent)
+    {
+        this->call->abort();
+        return;
+    }
+    answer_failure(*this->call, failure, this->config_version());
+}
+
+void answer_failure(peer::server_call& call, const attempt_failure& failure, core::version version)
+{
+    constexpr int bad_gateway = 502;
+    constexpr int service_unavailable = 503;
+    const auto* const refusal = std::get_if<attempts::refused>(&failure.event);
+    peer::answer_metadata metadata;
+    metadata.result = refusal != nullptr ? core::outcome::not_run : core::outcome::unknown;
+    metadata.code = failure.reason.value();
+    metadata.load = failure.context.load.value_or(core::load_report{});
+    metadata.config_version = version;
+    if (refusal != nullptr)
+    {
+        metadata.better = refusal->better;
+    }
+    http::response_head head{.status = refusal != nullptr ? service_unavailable : bad_gateway};
+    peer::encode(metadata, head.fields);
+    http::respond(call, std::move(head), {});
+}
+
+} // namespace poplarport::node::detail
--- /dev/null
+++ b/libs/node/src/peer_channel.cpp
@@ -0,0 +1,215 @@
+#include "poplarport/node/detail/peer_channel.hpp"
+
+#include <utility> // exchange, move
+#include <variant> // get, get_if
+
+#include "poplarport/node/detail/forwarding.hpp"
+#include "poplarport/node/detail/remote_error.hpp"
+#include "poplarport/peer/answer_metadata.hpp"
+#include "poplarport/peer/errors.hpp"
+
+namespace poplarport::node::detail
+{
+
+namespace
+{
+
+attempt_failure to_failure(const peer::call_failure& failure)
+{
+    switch (failure.not_run)
+    {
+    case peer::proof::not_sent:
+        return {attempts::connection_lost{}, failure.error, false, {}};
+    case peer::proof::refused_stream:
+        return {attempts::refused_stream{}, failure.error, true, {}};
+    case peer::proof::goaway_below:
+    {
+        // The link has compared the real numbers; any stream above the last one expresses the proof.
+        constexpr std::int32_t own_stream = 1;
+        constexpr std::int32_t last_stream = 0;
+        return {attempts::goaway{own_stream, last_stream}, failure.error, true, {}};
+    }
+    case peer::proof::none:
+        break;
+    }
+    return {attempts::connection_lost{}, failure.error, true, {}};
+}
+
+// A node that has no configuration yet reports no slots.
+bool has_report(const core::load_report& load) noexcept
+{
+    return load.slots != 0;
+}
+
+} // namespace
+
+peer_channel::peer_channel(hooks values) : events(std::make_shared<hooks>(std::move(values)))
+{
+}
+
+void peer_channel::start(peer::link& link, const http::request_head& head)
+{
+    this->call = link.start(head, this->call_hooks());
+}
+
+peer::client_call::hooks peer_channel::call_hooks()
+{
+    const auto weak = this->weak_from_this();
+    return {.on_interim =
+                [weak](const http::response_head& interim)
+            {
+                const auto self = weak.lock();
+                if (self && self->events->on_interim)
+                {
+                    self->events->on_interim(interim);
+                }
+            },
+            .on_head =
+                [weak](http::response_head& head)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->handle_head(head);
+                }
+            },
+            .on_body =
+                [weak](std::string_view bytes)
+            {
+                const auto self = weak.lock();
+                const auto running = self ? self->events : nullptr;
+                if (running && running->on_body)
+                {
+                    running->on_body(bytes);
+                }
+            },
+            .on_end =
+                [weak]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->handle_end();
+                }
+            },
+            .on_writable =
+                [weak]
+            {
+                const auto self = weak.lock();
+                const auto running = self ? self->events : nullptr;
+                if (running && running->on_writable)
+                {
+                    running->on_writable();
+                }
+            },
+            .on_failed =
+                [weak](const peer::call_failure& failure)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->handle_failure(failure);
+                }
+            }};
+}
+
+void peer_channel::handle_head(http::response_head& head)
+{
+    const auto decoded = peer::decode_answer_metadata(head.fields);
+    const auto* const metadata = std::get_if<peer::answer_metadata>(&decoded);
+    if (metadata == nullptr)
+    {
+        this->call->cancel();
+        this->fail({attempts::connection_lost{}, std::get<peer::metadata_error>(decoded).code, true, {}});
+        return;
+    }
+    this->context = {has_report(metadata->load) ? std::optional{metadata->load} : std::nullopt,
+                     metadata->config_version};
+    const auto reason = error_from_code(metadata->code);
+    if (metadata->result == core::outcome::answered)
+    {
+        remove_internal_fields(head.fields);
+        const auto running = this->events;
+        if (running->on_head)
+        {
+            running->on_head(head, this->context);
+        }
+        return;
+    }
+    this->call->cancel();
+    if (metadata->result == core::outcome::not_run)
+    {
+        this->fail({attempts::refused{attempts::refusal_proof::admission_refused, metadata->better}, reason, true,
+                    this->context});
+        return;
+    }
+    this->fail({attempts::unknown_reported{}, reason, true, this->context});
+}
+
+void peer_channel::handle_end()
+{
+    this->ended = true;
+    const auto running = std::exchange(this->events, std::make_shared<hooks>());
+    if (running->on_end)
+    {
+        running->on_end(this->context);
+    }
+}
+
+void peer_channel::handle_failure(const peer::call_failure& failure)
+{
+    this->fail(to_failure(failure));
+}
+
+void peer_channel::fail(const attempt_failure& failure)
+{
+    this->ended = true;
+    const auto running = std::exchange(this->events, std::make_shared<hooks>());
+    if (running->on_failed)
+    {
+        running->on_failed(failure);
+    }
+}
+
+void peer_channel::send_body(std::string_view bytes)
+{
+    if (!this->ended)
+    {
+        this->call->send_body(bytes);
+    }
+}
+
+void peer_channel::finish_request()
+{
+    if (!this->ended)
+    {
+        this->call->finish_request();
+    }
+}
+
+void peer_channel::set_reading(bool enabled)
+{
+    if (!this->ended)
+    {
+        this->call->set_reading(enabled);
+    }
+}
+
+void peer_channel::cancel()
+{
+    if (std::exchange(this->ended, true))
+    {
+        return;
+    }
+    this->events = std::make_shared<hooks>();
+    this->call->cancel();
+}
+
+std::size_t peer_channel::pending_bytes() const noexcept
+{
+    return this->ended ? 0 : this->call->pending_bytes();
+}
+
+bool peer_channel::has_sent_bytes() const noexcept
+{
+    return true;
+}
+
+} // namespace poplarport::node::detail
--- /dev/null
+++ b/libs/node/src/platform_client.cpp
@@ -0,0 +1,114 @@
+#include "poplarport/node/platform_client.hpp"
+
+#include <chrono>  // duration_cast, milliseconds, seconds
+#include <utility> // move
+
+#include <nlohmann/json.hpp>
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds call_timeout{3};
+
+platform_read parse_read(const control::reply& reply)
+{
+    platform_read result;
+    if (!reply.received)
+    {
+        return result;
+    }
+    const auto status = reply.received->status;
+    if (status == control::status::not_found || status == control::status::no_content)
+    {
+        result.answered = true;
+        return result;
+    }
+    if (status != control::status::ok)
+    {
+        return result;
+    }
+    const auto body = nlohmann::json::parse(reply.received->body, nullptr, false);
+    if (!body.is_object() || !body.contains("version") || !body["version"].is_number_unsigned() ||
+        !body.contains("value"))
+    {
+        return result;
+    }
+    result.answered = true;
+    result.version = body["version"].get<core::version>();
+    result.value = body["value"].dump();
+    return result;
+}
+
+} // namespace
+
+platform_client::platform_client(net::event_loop& loop, core::socket_address address)
+    : client(loop), platform(std::move(address))
+{
+}
+
+void platform_client::read(const std::string& key, read_hook hook)
+{
+    this->get("/v1/objects/" + control::percent_encode(key), call_timeout, std::move(hook));
+}
+
+void platform_client::watch(const std::string& key, core::version after, core::duration timeout, read_hook hook)
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+    const auto target = "/v1/objects/" + control::percent_encode(key) + "?watch=true&after=" + std::to_string(after) +
+                        "&timeout_ms=" + std::to_string(wait.count());
+    this->get(target, timeout + call_timeout, std::move(hook));
+}
+
+void platform_client::get(const std::string& target, core::duration timeout, read_hook hook)
+{
+    ++this->sent;
+    control::request message;
+    message.path = target;
+    this->client.send(this->platform, std::move(message), timeout,
+                      [this, hook = std::move(hook)](const control::reply& reply)
+                      {
+                          const auto result = parse_read(reply);
+                          this->failed += result.answered ? 0 : 1;
+                          hook(result);
+                      });
+}
+
+void platform_client::write(const std::string& key, const std::string& value, core::version expected, write_hook hook)
+{
+    ++this->sent;
+    control::request message;
+    message.method = "PUT";
+    message.path = "/v1/objects/" + control::percent_encode(key);
+    message.headers.push_back({"content-type", control::json_type});
+    if (expected == 0)
+    {
+        message.headers.push_back({"if-none-match", "*"});
+    }
+    else
+    {
+        message.headers.push_back({"if-match", "\"" + std::to_string(expected) + "\""});
+    }
+    message.body = value;
+    this->client.send(this->platform, std::move(message), call_timeout,
+                      [this, hook = std::move(hook)](const control::reply& reply)
+                      {
+                          const auto status = reply.received ? reply.received->status : 0U;
+                          if (status == control::status::ok)
+                          {
+                              hook(platform_write::written);
+                              return;
+                          }
+                          if (status == control::status::precondition_failed)
+                          {
+                              hook(platform_write::refused);
+                              return;
+                          }
+                          ++this->failed;
+                          hook(platform_write::lost);
+                      });
+}
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/src/seeds_codec.cpp
@@ -0,0 +1,56 @@
+#include "poplarport/node/detail/seeds_codec.hpp"
+
+#include <chrono>  // milliseconds
+#include <cstdint> // int64_t
+#include <utility> // move
+
+#include <nlohmann/json.hpp>
+
+namespace poplarport::node::detail
+{
+
+std::string encode_seeds(const membership::seeds_document& document)
+{
+    auto seeds = nlohmann::json::array();
+    for (const auto& seed : document.seeds)
+    {
+        seeds.push_back({{"id", seed.id}, {"address", core::to_string(seed.peer_address)}});
+    }
+    const nlohmann::json value{{"seeds", std::move(seeds)},
+                               {"lease_holder", document.lease_holder},
+                               {"lease_end_ms", document.lease_end.time_since_epoch().count()}};
+    return value.dump();
+}
+
+std::optional<membership::seeds_document> decode_seeds(const std::string& text)
+{
+    const auto value = nlohmann::json::parse(text, nullptr, false);
+    if (!value.is_object() || !value.contains("seeds") || !value["seeds"].is_array())
+    {
+        return std::nullopt;
+    }
+    membership::seeds_document document;
+    for (const auto& each : value["seeds"])
+    {
+        const bool is_seed = each.is_object() && each.contains("id") && each["id"].is_string() &&
+                             each.contains("address") && each["address"].is_string();
+        const auto address =
+            is_seed ? core::parse_socket_address(each["address"].get_ref<const std::string&>()) : std::nullopt;
+        if (address)
+        {
+            document.seeds.push_back({each["id"].get<std::string>(), *address});
+        }
+    }
+    if (value.contains("lease_holder") && value["lease_holder"].is_string())
+    {
+        document.lease_holder = value["lease_holder"].get<std::string>();
+    }
+    if (value.contains("lease_end_ms") && value["lease_end_ms"].is_number_integer())
+    {
+        document.lease_end =
+            membership::wall_time{std::chrono::milliseconds{value["lease_end_ms"].get<std::int64_t>()}};
+    }
+    return document;
+}
+
+} // namespace poplarport::node::detail
--- /dev/null
+++ b/libs/node/src/service_router.cpp
@@ -0,0 +1,371 @@
+#include "poplarport/node/service_router.hpp"
+
+#include <algorithm> // any_of, ranges::find, min
+#include <chrono>    // microseconds, milliseconds
+#include <utility>   // move
+
+#include "poplarport/node/detail/peer_channel.hpp"
+#include "poplarport/peer/call_metadata.hpp"
+#include "poplarport/routing/subset.hpp"
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+// The receiver's deadline is earlier than the sender's by this, so that a refusal arrives before the sender gives up
+// and the call ends as "not run" instead of "unknown".
+constexpr std::chrono::milliseconds greatest_answer_margin{5};
+constexpr int answer_margin_divisor = 10;
+
+core::duration answer_margin(core::duration time_left)
+{
+    return std::min<core::duration>(greatest_answer_margin, time_left / answer_margin_divisor);
+}
+
+// A call stays on its own VM while the local upstream uses less than this part of its slots; above it the call may
+// find a shorter wait elsewhere, which outweighs the hop.
+constexpr double local_utilization_limit = 0.75;
+
+std::chrono::microseconds own_clock(core::time_point now)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
+}
+
+routing::endpoint to_endpoint(const membership::member& member)
+{
+    return {member.id, member.availability_zone, member.peer_address, member.incarnation, member.draining};
+}
+
+/// Reports to the router what becomes of an attempt that is cancelled.
+class tracked_channel final : public attempt_channel
+{
+  public:
+    tracked_channel(std::shared_ptr<attempt_channel> wrapped, std::function<void()> cancelled)
+        : target(std::move(wrapped)), on_cancelled(std::move(cancelled))
+    {
+    }
+
+    void send_body(std::string_view bytes) override
+    {
+        this->target->send_body(bytes);
+    }
+
+    void finish_request() override
+    {
+        this->target->finish_request();
+    }
+
+    void set_reading(bool enabled) override
+    {
+        this->target->set_reading(enabled);
+    }
+
+    void cancel() override
+    {
+        this->target->cancel();
+        this->on_cancelled();
+    }
+
+    [[nodiscard]] std::size_t pending_bytes() const noexcept override
+    {
+        return this->target->pending_bytes();
+    }
+
+    [[nodiscard]] bool has_sent_bytes() const noexcept override
+    {
+        return this->target->has_sent_bytes();
+    }
+
+  private:
+    std::shared_ptr<attempt_channel> target;
+    std::function<void()> on_cancelled;
+};
+
+} // namespace
+
+service_router::service_router(net::event_loop& owner, const node_identity& self, std::string name,
+                               std::mt19937_64& engine, hooks values)
+    : loop(&owner), identity(&self), service(std::move(name)), random(&engine), events(std::move(values))
+{
+    this->rebuild_router();
+}
+
+service_router::~service_router()
+{
+    *this->alive = false;
+}
+
+void service_router::set_local(receiver* value) noexcept
+{
+    this->local = value;
+}
+
+void service_router::apply(const manifest::service_document& document, core::version version)
+{
+    const auto& rules = document.rules;
+    this->config_version = version;
+    this->connection_limit = rules.upstream.connection_limit;
+    core::duration greatest_cost{0};
+    for (const auto& cost : document.zone_costs)
+    {
+        const bool concerns_self =
+            cost.from == this->identity->availability_zone || cost.to == this->identity->availability_zone;
+        greatest_cost = concerns_self ? std::max<core::duration>(greatest_cost, cost.cost) : greatest_cost;
+    }
+    const auto round_trip = greatest_cost * 2;
+    if (round_trip != this->zone_cost || rules.tail_latency_weight_per_mille != this->tail_weight_per_mille)
+    {
+        this->zone_cost = round_trip;
+        this->tail_weight_per_mille = rules.tail_latency_weight_per_mille;
+        this->rebuild_router();
+    }
+    this->update_endpoints();
+}
+
+void service_router::set_members(const std::vector<membership::member>& values)
+{
+    this->members = values;
+    this->update_endpoints();
+}
+
+void service_router::rebuild_router()
+{
+    constexpr double per_mille = 1000.0;
+    const double tail_weight = static_cast<double>(this->tail_weight_per_mille) / per_mille;
+    this->router = std::make_unique<routing::router>(routing::router::builder{}
+                                                         .availability_zone(this->identity->availability_zone)
+                                                         .zone_cost(this->zone_cost)
+                                                         .weights(tail_weight, 1.0 - tail_weight)
+                                                         .build());
+}
+
+void service_router::update_endpoints()
+{
+    std::vector<routing::endpoint> all;
+    for (const auto& member : this->members)
+    {
+        all.push_back(to_endpoint(member));
+    }
+    // Every member of a service may be an entry node, so each endpoint is in the subsets of about as many nodes as
+    // the service has members.
+    const auto size = routing::subset_size(all.size(), all.size(), this->connection_limit);
+    std::map<core::node_id, routing::endpoint> chosen;
+    for (const auto position : routing::subset(this->identity->id, all, size))
+    {
+        chosen.emplace(all[position].id, all[position]);
+    }
+    for (const auto& each : all)
+    {
+        if (each.id == this->identity->id)
+        {
+            chosen.insert_or_assign(each.id, each);
+        }
+    }
+    this->endpoints = std::move(chosen);
+    std::vector<routing::endpoint> list;
+    for (const auto& [id, each] : this->endpoints)
+    {
+        list.push_back(each);
+    }
+    this->router->set_endpoints(std::move(list), this->loop->now());
+    this->drop_unused_links();
+}
+
+void service_router::drop_unused_links()
+{
+    const auto is_endpoint = [this](const core::socket_address& address)
+    {
+        return std::ranges::any_of(this->endpoints, [&](const auto& entry) { return entry.second.address == address; });
+    };
+    // A link that carries a call is kept even when membership has lost the endpoint: that verdict may be wrong, and
+    // the link itself finds out when the connection is silent.
+    std::erase_if(this->links,
+                  [&](const auto& entry) { return !is_endpoint(entry.first) && entry.second->call_count() == 0; });
+}
+
+std::optional<opened_attempt> service_router::open(const attempts::start_parameters& parameters,
+                                                   const http::request_head& head, const call_description& description,
+                                                   attempt_channel::hooks values)
+{
+    const auto target = this->choose(parameters);
+    if (!target)
+    {
+        return std::nullopt;
+    }
+    const auto id = target->id;
+    const bool is_local = this->local != nullptr && id == this->identity->id;
+    this->router->on_sent(id, this->loop->now());
+    auto tracked = this->track(id, std::move(values));
+    auto channel = is_local ? this->open_local(head, description, parameters, std::move(tracked))
+                            : this->open_remote(*target, head, description, parameters, std::move(tracked));
+    const auto on_cancelled = [this, id, still_alive = this->alive]
+    {
+        if (*still_alive)
+        {
+            this->router->on_cancelled(id, this->loop->now());
+        }
+    };
+    return opened_attempt{id, std::make_shared<tracked_channel>(std::move(channel), on_cancelled)};
+}
+
+std::optional<routing::endpoint> service_router::choose(const attempts::start_parameters& parameters)
+{
+    if (parameters.preferred && this->endpoints.contains(*parameters.preferred))
+    {
+        return this->endpoints.at(*parameters.preferred);
+    }
+    if (this->local_has_room(parameters))
+    {
+        return this->endpoints.at(this->identity->id);
+    }
+    const auto choice = this->router->pick({parameters.excluded}, this->loop->now(), *this->random);
+    return choice ? std::optional{*choice->target} : std::nullopt;
+}
+
+bool service_router::local_has_room(const attempts::start_parameters& parameters) const
+{
+    if (this->local == nullptr || !this->endpoints.contains(this->identity->id) ||
+        std::ranges::find(parameters.excluded, this->identity->id) != parameters.excluded.end() ||
+        this->router->is_marked(this->identity->id, this->loop->now()))
+    {
+        return false;
+    }
+    const auto load = this->local->load();
+    return !load.draining && static_cast<double>(load.in_flight + load.queued) <
+                                 local_utilization_limit * static_cast<double>(load.slots);
+}
+
+std::shared_ptr<attempt_channel> service_router::open_local(const http::request_head& head,
+                                                            const call_description& description,
+                                                            const attempts::start_parameters& parameters,
+                                                            attempt_channel::hooks values)
+{
+    received_call call;
+    call.id = description.id;
+    call.tenant = description.tenant;
+    call.traffic_class = description.traffic_class;
+    call.deadline = this->loop->now() + parameters.time_left - answer_margin(parameters.time_left);
+    call.depth = parameters.depth;
+    call.attempt = parameters.attempt_number;
+    call.wait_elsewhere = this->wait_elsewhere();
+    return this->local->start(head, std::move(call), std::move(values));
+}
+
+std::shared_ptr<attempt_channel> service_router::open_remote(const routing::endpoint& target,
+                                                             const http::request_head& head,
+                                                             const call_description& description,
+                                                             const attempts::start_parameters& parameters,
+                                                             attempt_channel::hooks values)
+{
+    auto& link = this->link_to(target.address);
+    http::request_head sent = head;
+    peer::call_metadata metadata;
+    metadata.request_id = description.id;
+    metadata.time_left = std::chrono::duration_cast<std::chrono::microseconds>(parameters.time_left -
+                                                                               answer_margin(parameters.time_left));
+    metadata.sent_at = own_clock(this->loop->now());
+    metadata.attempt = parameters.attempt_number;
+    metadata.depth = parameters.depth;
+    metadata.tenant = description.tenant;
+    metadata.traffic_class = description.traffic_class;
+    metadata.config_version = this->config_version;
+    peer::encode(metadata, sent.fields);
+    sent.fields.set(detail::cluster_key_field, this->identity->cluster_key);
+    sent.fields.set(detail::service_field, this->service);
+    auto channel = std::make_shared<detail::peer_channel>(std::move(values));
+    channel->start(link, sent);
+    return channel;
+}
+
+attempt_channel::hooks service_router::track(const core::node_id& id, attempt_channel::hooks values)
+{
+    const auto started_at = this->loop->now();
+    const auto still_alive = this->alive;
+    auto tracked = values;
+    tracked.on_end = [this, id, started_at, still_alive, next = std::move(values.on_end)](const answer_context& context)
+    {
+        if (*still_alive)
+        {
+            const auto now = this->loop->now();
+            this->router->on_answer(id, context.load, now - started_at, now);
+            if (context.config_version != 0 && this->events.on_version_seen)
+            {
+                this->events.on_version_seen(id, context.config_version);
+            }
+        }
+        next(context);
+    };
+    tracked.on_failed = [this, id, still_alive, next = std::move(values.on_failed)](const attempt_failure& failure)
+    {
+        if (*still_alive)
+        {
+            const auto now = this->loop->now();
+            if (std::holds_alternative<attempts::refused>(failure.event))
+            {
+                this->router->on_refused(id, failure.context.load, now);
+            }
+            else
+            {
+                this->router->on_failed(id, now);
+            }
+        }
+        next(failure);
+    };
+    return tracked;
+}
+
+std::vector<core::node_id> service_router::better_peers() const
+{
+    const std::vector<core::node_id> self{this->identity->id};
+    const auto best = this->router->best_peer({self}, this->loop->now());
+    return best ? std::vector<core::node_id>{best->target->id} : std::vector<core::node_id>{};
+}
+
+std::optional<core::duration> service_router::wait_elsewhere() const
+{
+    const std::vector<core::node_id> self{this->identity->id};
+    const auto best = this->router->best_peer({self}, this->loop->now());
+    return best ? std::optional{best->expected_wait} : std::nullopt;
+}
+
+void service_router::on_idle_hint(const core::node_id& id, std::uint32_t free_slots)
+{
+    this->router->on_idle_hint(id, free_slots, this->loop->now());
+}
+
+peer::link* service_router::link_to_member(const core::node_id& id)
+{
+    const auto position = std::ranges::find(this->members, id, &membership::member::id);
+    return position == this->members.end() ? nullptr : &this->link_to(position->peer_address);
+}
+
+peer::link& service_router::link_to(const core::socket_address& address)
+{
+    auto& link = this->links[address];
+    if (!link)
+    {
+        link = std::make_unique<peer::link>(peer::link::builder{}.connect_to(address).build(*this->loop));
+    }
+    return *link;
+}
+
+peer::counters service_router::link_counters() const
+{
+    peer::counters sum;
+    for (const auto& [address, link] : this->links)
+    {
+        const auto& value = link->statistics();
+        sum.sessions += value.sessions;
+        sum.streams += value.streams;
+        sum.refused += value.refused;
+        sum.silent += value.silent;
+        sum.bytes_in += value.bytes_in;
+        sum.bytes_out += value.bytes_out;
+        sum.pings += value.pings;
+    }
+    return sum;
+}
+
+} // namespace poplarport::node
--- /dev/null
+++ b/libs/node/src/settings.cpp
@@ -0,0 +1,68 @@
+#include "poplarport/node/settings.hpp"
+
+#include <algorithm>   // ranges::all_of
+#include <string_view> // string_view
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+constexpr std::size_t shortest_cluster_secret = 16;
+constexpr std::size_t greatest_name_length = 64;
+
+bool is_name(std::string_view text)
+{
+    constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyz0123456789-_.";
+    return !text.empty() && text.size() <= greatest_name_length &&
+           text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+const settings::text_rule& name_rule()
+{
+    static const settings::text_rule rule{"up to 64 lower-case letters, digits, '-', '_' and '.'", is_name, {}};
+    return rule;
+}
+
+const settings::text_rule& secret_rule()
+{
+    static const settings::text_rule rule{"at least 16 printable characters without spaces",
+                                          [](std::string_view text)
+                                          {
+                                              return text.size() >= shortest_cluster_secret &&
+                                                     std::ranges::all_of(text, [](char letter)
+                                                                         { return letter > ' ' && letter < '\x7f'; });
+                                          },
+                                          {}};
+    return rule;
+}
+
+} // namespace
+
+node_settings read_settings(const settings::document& document)
+{
+    constexpr std::int64_t least_descriptors = 256;
+    constexpr std::int64_t greatest_descriptors = 1'000'000;
+    constexpr std::int64_t default_descriptors = 4096;
+    const auto root = document.root();
+    node_settings result;
+    const auto node = root.child("node");
+    result.id = node.text("id", name_rule());
+    result.service = node.text("service", name_rule());
+    result.availability_zone = node.text("availability_zone", name_rule());
+    result.cluster_secret = node.text("cluster_secret", secret_rule());
+    const auto listen = root.child("listen");
+    result.callers = listen.address("callers");
+    result.peers = listen.address("peers");
+    result.administration = listen.address("administration");
+    result.upstream = root.child("upstream").address("address");
+    result.platform = root.child("platform").address("address");
+    const auto limits = root.child("limits");
+    result.descriptors = static_cast<std::size_t>(
+        limits.integer("descriptors", {least_descriptors, greatest_descriptors, default_descriptors}));
+    result.log_level = root.child("log").choice("level", {"debug", "info", "warning", "error"}, "info");
+    return result;
+}
+
+} // namespace poplarport::node
--- a/libs/node/tests/unit-local_path.cpp
+++ b/libs/node/tests/unit-local_path.cpp
@@ -85,6 +85,7 @@
         };
         this->callers =
             std::make_unique<node::entry>(this->loop, loopback, this->directory, this->random, "n1", std::move(hooks));
+        this->callers->start_listening();
     }
 
     // Sends one request and collects its answer.
