manifest: keep the base version of each recent change

Cause: configuration::apply_operation finds the winner of a race by the version on which each recent change was based. Ruled out: two parallel lists of ids and versions, which could differ in length. Change: service_document::recent_changes holds id and base, the oldest first, and replaces recent_change_ids; the key in JSON is recent_changes. Conclusion: the stored document has all that the operation reads back.

--- a/libs/manifest/include/poplarport/manifest/service_document.hpp
+++ b/libs/manifest/include/poplarport/manifest/service_document.hpp
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "poplarport/core/ids.hpp"
 #include "poplarport/manifest/model.hpp"
 
 namespace poplarport::manifest
@@ -17,21 +18,25 @@
 /// @brief Greatest size of a value in the platform's object API.
 inline constexpr std::size_t greatest_document_bytes = 1U << 20U;
 
-/// @brief Greatest number of change ids that a document keeps.
-///
-/// A writer whose answer was lost finds its id here unless this many later changes were made before it read back.
-inline constexpr std::size_t greatest_recent_change_ids = 16;
+/// @brief One of the latest changes of a document.
+struct recent_change
+{
+    std::string id;        ///< change id
+    core::version base{0}; ///< version on which the change was based; zero if it created the object
+
+    bool operator==(const recent_change&) const = default;
+};
 
 /// @brief The self-contained configuration of one service, as stored in the platform object `services/NAME`.
 ///
 /// Its version is the platform's version of the object and is not part of the document.
 struct service_document
 {
-    std::string change_id;                      ///< id of the change that wrote the document
-    std::vector<std::string> recent_change_ids; ///< ids of the latest changes, the newest first
-    service rules;                              ///< the service
-    std::vector<tenant> tenants;                ///< all tenants of the operator, admitted or not
-    std::vector<zone_cost> zone_costs;          ///< costs between availability zones
+    std::string change_id;                     ///< id of the change that wrote the document
+    std::vector<recent_change> recent_changes; ///< latest changes, the oldest first; bounded by the writer
+    service rules;                             ///< the service
+    std::vector<tenant> tenants;               ///< all tenants of the operator, admitted or not
+    std::vector<zone_cost> zone_costs;         ///< costs between availability zones
 
     bool operator==(const service_document&) const = default;
 };
--- a/libs/manifest/src/detail/fields.hpp
+++ b/libs/manifest/src/detail/fields.hpp
@@ -1,13 +1,15 @@
 #pragma once
 
-#include <chrono>  // milliseconds
-#include <cstdint> // int64_t, uint64_t
-#include <string>  // string
-#include <vector>  // vector
+#include <algorithm> // ranges::all_of
+#include <chrono>    // milliseconds
+#include <cstdint>   // int64_t, uint64_t
+#include <string>    // string
+#include <vector>    // vector
 
 #include "detail/text_rules.hpp"
 #include "poplarport/manifest/errors.hpp"
 #include "poplarport/manifest/model.hpp"
+#include "poplarport/manifest/service_document.hpp"
 
 /// The functions `fields` name each key of a part once, with its unit, bounds and fallback. The TOML reader, the JSON
 /// reader and the JSON writer are visitors of them, so that the three cannot disagree.
@@ -21,6 +23,7 @@
 inline constexpr std::int64_t greatest_weight = 1'000;
 inline constexpr std::int64_t whole_per_mille = 1'000;
 inline constexpr milliseconds greatest_time{std::chrono::hours{1}};
+inline constexpr std::uint64_t greatest_version = std::uint64_t{1} << 62U;
 inline constexpr std::uint64_t kibibyte = 1024;
 inline constexpr std::uint64_t mebibyte = kibibyte * kibibyte;
 
@@ -136,4 +139,23 @@
                     "another zone; the cost within a zone is zero");
 }
 
+[[nodiscard]] inline settings::text_rule change_id_rule()
+{
+    constexpr std::size_t longest_change_id = 128;
+    return {"a change id",
+            [](std::string_view text)
+            {
+                return text.size() <= longest_change_id &&
+                       std::ranges::all_of(text, [](char letter) { return letter > ' ' && letter <= '~'; });
+            },
+            ""};
+}
+
+template <class Visitor>
+void fields(Visitor& visitor, recent_change& part)
+{
+    visitor.text("id", part.id, change_id_rule());
+    visitor.bytes("base", part.base, {0, greatest_version});
+}
+
 } // namespace poplarport::manifest::detail
--- a/libs/manifest/src/difference.cpp
+++ b/libs/manifest/src/difference.cpp
@@ -28,7 +28,7 @@
 {
     json node = to_json(document);
     node.erase("change_id");
-    node.erase("recent_change_ids");
+    node.erase("recent_changes");
     for (json& tenant : node["tenants"])
     {
         for (json& credential : tenant["credentials"])
--- a/libs/manifest/src/reader.cpp
+++ b/libs/manifest/src/reader.cpp
@@ -174,8 +174,8 @@
 
     void check_size(const settings::table& node, const service& rules) const
     {
-        // Change ids are added when the document is written.
-        constexpr std::size_t reserve_bytes = 4096;
+        // Room for the recent changes, which are added when the document is written.
+        constexpr std::size_t reserve_bytes = 16384;
         const std::size_t size = to_json(make_document(this->content, rules)).dump().size();
         if (size + reserve_bytes > greatest_document_bytes)
         {
--- a/libs/manifest/src/service_document.cpp
+++ b/libs/manifest/src/service_document.cpp
@@ -198,24 +198,12 @@
     bool& is_valid;
 };
 
-settings::text_rule change_id_rule()
-{
-    constexpr std::size_t longest_change_id = 128;
-    return {"a change id",
-            [](std::string_view text)
-            {
-                return text.size() <= longest_change_id &&
-                       std::ranges::all_of(text, [](char letter) { return letter > ' ' && letter <= '~'; });
-            },
-            ""};
-}
-
 /// @brief Names the parts of a document for the JSON reader and the JSON writer.
 template <class Visitor>
 void document_fields(Visitor& visitor, service_document& document)
 {
-    visitor.text("change_id", document.change_id, change_id_rule());
-    visitor.texts("recent_change_ids", document.recent_change_ids, change_id_rule(), 0);
+    visitor.text("change_id", document.change_id, detail::change_id_rule());
+    visitor.list("recent_changes", document.recent_changes);
     visitor.table("service", document.rules);
     visitor.list("tenants", document.tenants);
     visitor.list("zone_costs", document.zone_costs);
--- a/libs/manifest/tests/unit-service_document.cpp
+++ b/libs/manifest/tests/unit-service_document.cpp
@@ -24,7 +24,7 @@
     const auto result = poplarport::manifest::read_file(std::string{POPLARPORT_SAMPLES} + "/kolam.toml");
     service_document document = make_document(result.content, result.content.services[0]);
     document.change_id = "change-2";
-    document.recent_change_ids = {"change-2", "change-1"};
+    document.recent_changes = {{"change-1", 0}, {"change-2", 7}};
     return document;
 }
 
@@ -69,7 +69,7 @@
         {"/service/classes", 7, errc::malformed_document},
         {"/service/tenants/0/tenant", "stranger", errc::malformed_document},
         {"/tenants/0/credentials", json::array({"sha256:00:00"}), errc::malformed_document},
-        {"/recent_change_ids", "x", errc::malformed_document},
+        {"/recent_changes", "x", errc::malformed_document},
     };
     for (const broken_case& sample_case : cases)
     {
