Add the platform's stand-in, and keep waiting answers open

Cause: tests and the demo need the platform's object API with its outages. A trial with control::client lost an answer after 3 s: libwebsockets sets a timeout of its own after it has written a request. Ruled out: a longer timeout_secs of the virtual host, which did not help (trial: the connection still closed after 3 s). Change: object store with versions from one counter, conditional updates, watches, lists, rates and faults; platform-standin; the client clears libwebsockets' timeout after writing, since its own timer ends a request; an exception in a handler is answered with 500. Conclusion: a value is returned byte for byte, and a blind write is refused with 428.

--- /dev/null
+++ b/apps/platform-standin/main.cpp
@@ -0,0 +1,68 @@
+#include <csignal>  // SIGINT, SIGTERM
+#include <iostream> // cerr, cout
+
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/signal_watch.hpp"
+#include "poplarport/settings/program.hpp"
+#include "poplarport/standins/platform/platform_server.hpp"
+
+using namespace poplarport;
+
+namespace
+{
+
+void add_options(cxxopts::Options& options)
+{
+    auto add = options.add_options();
+    add("listen", "address of the object API", cxxopts::value<std::string>()->default_value("127.0.0.1:0"),
+        "HOST:PORT");
+    add("control", "address for faults and counters", cxxopts::value<std::string>(), "HOST:PORT");
+    add("reads-per-second", "rate of reads", cxxopts::value<std::uint32_t>()->default_value("2000"));
+    add("writes-per-second", "rate of writes", cxxopts::value<std::uint32_t>()->default_value("500"));
+}
+
+settings::exit_status serve(const cxxopts::ParseResult& parsed)
+{
+    standins::platform_settings chosen;
+    const auto listen = core::parse_socket_address(parsed["listen"].as<std::string>());
+    if (parsed.count("control") > 0)
+    {
+        chosen.control = core::parse_socket_address(parsed["control"].as<std::string>());
+    }
+    if (!listen.has_value() || chosen.control.has_value() != (parsed.count("control") > 0))
+    {
+        std::cerr << "platform-standin: an address is an IP number and a port, HOST:PORT\n";
+        return settings::exit_status::usage;
+    }
+    chosen.listen = *listen;
+    chosen.reads_per_second = parsed["reads-per-second"].as<std::uint32_t>();
+    chosen.writes_per_second = parsed["writes-per-second"].as<std::uint32_t>();
+    net::event_loop loop;
+    const net::signal_watch signals{loop,
+                                    {SIGINT, SIGTERM},
+                                    [&loop](int)
+                                    {
+                                        loop.stop();
+                                    }};
+    const standins::platform_server server{loop, chosen};
+    std::cout << "listening on " << core::to_string(server.address()) << "\n";
+    if (server.control_address().has_value())
+    {
+        std::cout << "control on " << core::to_string(*server.control_address()) << "\n";
+    }
+    std::cout << std::flush;
+    loop.run();
+    return settings::exit_status::ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto program =
+        settings::program::builder{"platform-standin", "The platform's object API for tests and the demo."}
+            .options(add_options)
+            .run(serve)
+            .build();
+    return program.run(argc, argv, std::cout, std::cerr);
+}
--- a/libs/control/include/poplarport/control/message.hpp
+++ b/libs/control/include/poplarport/control/message.hpp
@@ -12,6 +12,9 @@
 /// @brief Greatest size of a body, the size of a value in the platform's object API.
 inline constexpr std::size_t greatest_body_bytes = 1U << 20U;
 
+/// @brief Greatest size of an answer that the client accepts: a value with its envelope, or a list of objects.
+inline constexpr std::size_t greatest_answer_bytes = 4U << 20U;
+
 /// @brief Content type of JSON.
 inline constexpr const char* json_type = "application/json";
 
@@ -32,6 +35,7 @@
 inline constexpr unsigned length_required = 411;
 inline constexpr unsigned precondition_failed = 412;
 inline constexpr unsigned content_too_large = 413;
+inline constexpr unsigned precondition_required = 428;
 inline constexpr unsigned too_many_requests = 429;
 inline constexpr unsigned internal_error = 500;
 inline constexpr unsigned unavailable = 503;
--- a/libs/control/src/client.cpp
+++ b/libs/control/src/client.cpp
@@ -24,9 +24,6 @@
 constexpr const char* vhost_name = "control-client";
 constexpr const char* protocol_name = "poplarport-control-client";
 
-// The client's own timers end requests. The timeout of libwebsockets (20 s unless set) would end a long watch.
-constexpr unsigned library_timeout_s = 3600;
-
 constexpr std::size_t chunk_bytes = 16384;
 
 bool is_printable(std::string_view text) noexcept
@@ -104,6 +101,7 @@
   private:
     void succeed();
     void finish(reply result);
+    void clear_library_timeout();
     void close();
 };
 
@@ -190,9 +188,29 @@
     }
 }
 
+// The client's own timer ends requests. libwebsockets sets a timeout of a few seconds after it has written a request,
+// which would end a watch.
+void client_exchange::clear_library_timeout()
+{
+    if (this->owner == nullptr)
+    {
+        return;
+    }
+    this->owner->loop->post(
+        [waiting = std::weak_ptr<client_exchange>{this->self}]
+        {
+            const auto exchange = waiting.lock();
+            if (exchange != nullptr && exchange->connection != nullptr && !exchange->is_finished)
+            {
+                lws_set_timeout(exchange->connection, NO_PENDING_TIMEOUT, 0);
+            }
+        });
+}
+
 int client_exchange::add_headers(unsigned char** position, const unsigned char* end)
 {
     this->is_announced = true;
+    this->clear_library_timeout();
     auto* const limit_position = const_cast<unsigned char*>(end);
     const auto add = [this, position, limit_position](const std::string& name, const std::string& value)
     {
@@ -238,6 +256,7 @@
     if (is_last)
     {
         lws_client_http_body_pending(this->connection, 0);
+        this->clear_library_timeout();
     }
     const auto kind = is_last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
     if (lws_write(this->connection, buffer.data() + LWS_PRE, size, kind) < 0)
@@ -288,7 +307,7 @@
 
 int client_exchange::append_body(std::string_view bytes)
 {
-    if (this->received.body.size() + bytes.size() > greatest_body_bytes)
+    if (this->received.body.size() + bytes.size() > greatest_answer_bytes)
     {
         this->fail(errc::answer_too_large);
         return -1;
@@ -367,7 +386,6 @@
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.vhost_name = vhost_name;
     info.protocols = client_protocols.data();
-    info.timeout_secs = library_timeout_s;
     // Port 0 means no proxy; without an address libwebsockets takes the proxy of the variable http_proxy.
     info.http_proxy_address = "none:0";
     return lws_create_vhost(context, &info);
--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // ranges::any_of
 #include <chrono>    // milliseconds
+#include <exception> // exception
 #include <map>       // map
 #include <set>       // set
 #include <utility>   // exchange, move
@@ -156,7 +157,15 @@
     const responder to{exchange};
     if (best != nullptr)
     {
-        best->handle(message, to);
+        try
+        {
+            best->handle(message, to);
+        }
+        catch (const std::exception&)
+        {
+            // An exception must not pass through libwebsockets, which is C.
+            to.send(refusal(status::internal_error, errc::no_answer));
+        }
         return;
     }
     const bool is_path =
--- a/libs/control/tests/unit-exchange.cpp
+++ b/libs/control/tests/unit-exchange.cpp
@@ -3,11 +3,12 @@
 #include "poplarport/control/server.hpp"
 #include "poplarport/net/timer.hpp"
 
-#include <chrono>   // seconds, milliseconds
-#include <memory>   // unique_ptr
-#include <optional> // optional
-#include <string>   // string
-#include <vector>   // vector
+#include <chrono>    // seconds, milliseconds
+#include <memory>    // unique_ptr
+#include <optional>  // optional
+#include <stdexcept> // runtime_error
+#include <string>    // string
+#include <vector>    // vector
 
 #include <CppUTest/TestHarness.h>
 
@@ -60,19 +61,21 @@
             this->kept = to;
             to.on_gone([this] { this->is_gone = true; });
         };
-        this->server = control::server::builder{this->loop}
-                           .route("GET", "/v1/", describe)
-                           .route("PUT", "/v1/", describe)
-                           .route("DELETE", "/v1/", describe)
-                           .route("POST", "/echo", echo)
-                           .route("GET", "/keep", keep)
-                           .route("GET", "/empty",
-                                  [](const request&, const responder& to) {
-                                      to.send({control::status::no_content, "", ""});
-                                  })
-                           .route("GET", "/forget", [](const request&, const responder&) {})
-                           .route("GET", "/drop", [](const request&, const responder& to) { to.drop(); })
-                           .build();
+        this->server =
+            control::server::builder{this->loop}
+                .route("GET", "/v1/", describe)
+                .route("PUT", "/v1/", describe)
+                .route("DELETE", "/v1/", describe)
+                .route("POST", "/echo", echo)
+                .route("GET", "/keep", keep)
+                .route("GET", "/empty",
+                       [](const request&, const responder& to) {
+                           to.send({control::status::no_content, "", ""});
+                       })
+                .route("GET", "/forget", [](const request&, const responder&) {})
+                .route("GET", "/throw", [](const request&, const responder&) { throw std::runtime_error{"x"}; })
+                .route("GET", "/drop", [](const request&, const responder& to) { to.drop(); })
+                .build();
     }
 
     void teardown() override
@@ -133,6 +136,7 @@
         {{.method = "GET", .path = "/echo"}, 405, "The path does not accept the method.\n"},
         {{.method = "GET", .path = "/other"}, 404, "The server has no such path.\n"},
         {{.method = "GET", .path = "/forget"}, 500, "The handler of the request gave no answer.\n"},
+        {{.method = "GET", .path = "/throw"}, 500, "The handler of the request gave no answer.\n"},
         {{.method = "HEAD", .path = "/v1/a"}, 200, ""},
     };
     for (const round_trip_case& sample : cases)
--- /dev/null
+++ b/libs/standins/src/platform_server.cpp
@@ -0,0 +1,429 @@
+#include "poplarport/standins/platform/platform_server.hpp"
+
+#include <algorithm> // clamp, min
+#include <charconv>  // from_chars
+#include <list>      // list
+#include <map>       // map
+#include <string>    // string
+#include <utility>   // move
+
+#include <nlohmann/json.hpp>
+
+#include "poplarport/control/server.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/standins/platform/object_store.hpp"
+#include "poplarport/standins/platform/platform_faults.hpp"
+
+namespace poplarport::standins
+{
+namespace
+{
+
+using control::answer;
+using control::request;
+using control::responder;
+using nlohmann::json;
+
+constexpr std::string_view objects_path = "/v1/objects/";
+constexpr std::chrono::milliseconds default_watch_timeout{30'000};
+constexpr std::chrono::milliseconds greatest_watch_timeout{60'000};
+
+/// @brief Calls per second with a burst of one second.
+class call_rate
+{
+  public:
+    explicit call_rate(std::uint32_t limit) noexcept : per_second(limit), tokens(limit)
+    {
+    }
+
+    bool take(core::time_point now) noexcept
+    {
+        const std::chrono::duration<double> elapsed = now - this->refilled;
+        this->refilled = now;
+        this->tokens = std::min(this->per_second, this->tokens + elapsed.count() * this->per_second);
+        if (this->tokens < 1.0)
+        {
+            return false;
+        }
+        this->tokens -= 1.0;
+        return true;
+    }
+
+  private:
+    double per_second;
+    double tokens;
+    core::time_point refilled{core::clock::now()};
+};
+
+answer fault(unsigned status, const std::string& text)
+{
+    return {status, control::json_type, json{{"error", text}}.dump()};
+}
+
+answer object_answer(const platform_object& object)
+{
+    // The value is inserted as it was written, so that it is returned byte for byte.
+    return {control::status::ok, control::json_type,
+            R"({"version":)" + std::to_string(object.version) + R"(,"value":)" + object.value + "}"};
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text) noexcept
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool is_whole = error == std::errc{} && end == text.data() + text.size();
+    return is_whole ? std::optional{value} : std::nullopt;
+}
+
+/// @brief Reads `If-Match: "VERSION"` or `If-None-Match: *`.
+std::optional<write_condition> parse_condition(const request& message) noexcept
+{
+    if (message.header("if-none-match") == std::string_view{"*"})
+    {
+        return write_condition{0};
+    }
+    const auto match = message.header("if-match").value_or("");
+    if (match.size() < 3 || match.front() != '"' || match.back() != '"')
+    {
+        return std::nullopt;
+    }
+    const auto version = parse_number(match.substr(1, match.size() - 2));
+    return version.has_value() && *version > 0 ? std::optional{write_condition{*version}} : std::nullopt;
+}
+
+} // namespace
+
+struct platform_server::state
+{
+    state(net::event_loop& shared, const platform_settings& chosen)
+        : loop(&shared), reads(chosen.reads_per_second), writes(chosen.writes_per_second)
+    {
+    }
+
+    struct watch
+    {
+        std::string key;
+        core::version after;
+        responder to;
+        std::unique_ptr<net::timer> limit;
+    };
+
+    net::event_loop* loop;
+    object_store store{};
+    platform_faults faults{};
+    platform_counters counters{};
+    call_rate reads;
+    call_rate writes;
+    std::list<watch> watches{};
+    std::map<std::uint64_t, std::unique_ptr<net::timer>> delayed{}; ///< calls that `slow` holds back
+    std::uint64_t next_delayed{0};
+    std::unique_ptr<control::server> api{};
+    std::unique_ptr<control::server> control_api{};
+
+    using operation = void (state::*)(const request&, const responder&);
+
+    /// @brief Applies rates and faults, then runs the operation.
+    void call(call_rate& rate, operation run, const request& message, const responder& to);
+    void run_unless_down(operation run, const request& message, const responder& to);
+
+    void get(const request& message, const responder& to);
+    void list(const request& message, const responder& to);
+    void put(const request& message, const responder& to);
+    void erase(const request& message, const responder& to);
+    void start_watch(const request& message, const responder& to);
+    void answer_write(const write_result& result, const responder& to);
+    void notify(const std::string& key);
+    void end_all_watches();
+    void set_fault(const request& message, const responder& to);
+    [[nodiscard]] answer describe_counters() const;
+};
+
+void platform_server::state::call(call_rate& rate, operation run, const request& message, const responder& to)
+{
+    const auto now = this->loop->now();
+    if (!rate.take(now))
+    {
+        ++this->counters.refused;
+        to.send(fault(control::status::too_many_requests, "rate exceeded"));
+        return;
+    }
+    if (!this->faults.slow.take(now))
+    {
+        this->run_unless_down(run, message, to);
+        return;
+    }
+    const std::uint64_t id = this->next_delayed++;
+    const auto resume = [this, id, run, message, to]
+    {
+        const auto keep = std::move(this->delayed[id]);
+        this->delayed.erase(id);
+        this->run_unless_down(run, message, to);
+    };
+    this->delayed[id] = std::make_unique<net::timer>(*this->loop, resume);
+    this->delayed[id]->schedule(this->faults.delay);
+}
+
+void platform_server::state::run_unless_down(operation run, const request& message, const responder& to)
+{
+    if (this->faults.down.take(this->loop->now()))
+    {
+        ++this->counters.unavailable;
+        to.send(fault(control::status::unavailable, "outage"));
+        return;
+    }
+    (this->*run)(message, to);
+}
+
+void platform_server::state::get(const request& message, const responder& to)
+{
+    if (message.parameter("watch") == std::string_view{"true"})
+    {
+        this->start_watch(message, to);
+        return;
+    }
+    ++this->counters.reads;
+    const platform_object* found = this->store.find(message.path.substr(objects_path.size()));
+    to.send(found == nullptr ? fault(control::status::not_found, "no such object") : object_answer(*found));
+}
+
+void platform_server::state::start_watch(const request& message, const responder& to)
+{
+    ++this->counters.watches;
+    const auto after = parse_number(message.parameter("after").value_or("0"));
+    const auto timeout =
+        parse_number(message.parameter("timeout_ms").value_or(std::to_string(default_watch_timeout.count())));
+    if (!after.has_value() || !timeout.has_value())
+    {
+        to.send(fault(control::status::bad_request, "after and timeout_ms must be numbers"));
+        return;
+    }
+    std::string key = message.path.substr(objects_path.size());
+    const platform_object* found = this->store.find(key);
+    if (found != nullptr && found->version > *after)
+    {
+        to.send(object_answer(*found));
+        return;
+    }
+    if (found == nullptr && *after > 0)
+    {
+        to.send(fault(control::status::not_found, "no such object"));
+        return;
+    }
+    const auto added = this->watches.insert(this->watches.end(), {std::move(key), *after, to, nullptr});
+    const auto expire = [this, added]
+    {
+        added->to.send({control::status::no_content, "", ""});
+        const auto keep = std::move(added->limit);
+        this->watches.erase(added);
+    };
+    added->limit = std::make_unique<net::timer>(*this->loop, expire);
+    const auto greatest = static_cast<std::uint64_t>(greatest_watch_timeout.count());
+    added->limit->schedule(std::chrono::milliseconds{std::min(*timeout, greatest)});
+}
+
+void platform_server::state::list(const request& message, const responder& to)
+{
+    ++this->counters.lists;
+    json entries = json::array();
+    for (const listed_object& entry : this->store.list(message.parameter("prefix").value_or("")))
+    {
+        entries.push_back({{"key", entry.key}, {"version", entry.version}});
+    }
+    to.send({control::status::ok, control::json_type, json{{"objects", std::move(entries)}}.dump()});
+}
+
+void platform_server::state::put(const request& message, const responder& to)
+{
+    ++this->counters.writes;
+    const auto condition = parse_condition(message);
+    const std::string key = message.path.substr(objects_path.size());
+    if (!condition.has_value())
+    {
+        to.send(fault(control::status::precondition_required, "If-Match or If-None-Match is required"));
+        return;
+    }
+    if (key.empty() || !json::accept(message.body))
+    {
+        to.send(fault(control::status::bad_request, "the key is empty or the value is not JSON"));
+        return;
+    }
+    const write_result result = this->store.put(key, message.body, *condition);
+    this->answer_write(result, to);
+    if (result.is_applied)
+    {
+        this->notify(key);
+    }
+}
+
+void platform_server::state::erase(const request& message, const responder& to)
+{
+    ++this->counters.removals;
+    const auto condition = parse_condition(message);
+    const std::string key = message.path.substr(objects_path.size());
+    if (!condition.has_value() || condition->expected == 0)
+    {
+        to.send(fault(control::status::precondition_required, "If-Match is required"));
+        return;
+    }
+    const write_result result = this->store.erase(key, *condition);
+    this->answer_write(result, to);
+    if (result.is_applied)
+    {
+        this->notify(key);
+    }
+}
+
+void platform_server::state::answer_write(const write_result& result, const responder& to)
+{
+    const std::string body = json{{"version", result.version}}.dump();
+    if (!result.is_applied)
+    {
+        ++this->counters.conflicts;
+        to.send({control::status::precondition_failed, control::json_type, body});
+        return;
+    }
+    if (this->faults.lost_answer.take(this->loop->now()))
+    {
+        ++this->counters.lost_answers;
+        to.drop();
+        return;
+    }
+    to.send({control::status::ok, control::json_type, body});
+}
+
+void platform_server::state::notify(const std::string& key)
+{
+    const platform_object* object = this->store.find(key);
+    std::erase_if(this->watches,
+                  [&key, object](const watch& waiting)
+                  {
+                      if (waiting.key != key)
+                      {
+                          return false;
+                      }
+                      waiting.to.send(object == nullptr ? fault(control::status::not_found, "no such object")
+                                                        : object_answer(*object));
+                      return true;
+                  });
+}
+
+void platform_server::state::end_all_watches()
+{
+    for (const watch& waiting : this->watches)
+    {
+        waiting.to.send(fault(control::status::unavailable, "outage"));
+    }
+    this->watches.clear();
+}
+
+void platform_server::state::set_fault(const request& message, const responder& to)
+{
+    const json chosen = json::parse(message.body, nullptr, false);
+    const std::string kind = chosen.is_object() ? chosen.value("kind", std::string{}) : std::string{};
+    std::map<std::string, limited_fault*> kinds{
+        {"down", &this->faults.down}, {"slow", &this->faults.slow}, {"lost_answer", &this->faults.lost_answer}};
+    if (!kinds.contains(kind))
+    {
+        to.send(fault(control::status::bad_request, "kind must be down, slow or lost_answer"));
+        return;
+    }
+    std::optional<std::uint64_t> count;
+    std::optional<core::time_point> end;
+    if (chosen.contains("count"))
+    {
+        count = chosen["count"].get<std::uint64_t>();
+    }
+    if (chosen.contains("for_ms"))
+    {
+        end = this->loop->now() + std::chrono::milliseconds{chosen["for_ms"].get<std::int64_t>()};
+    }
+    if (kind == "slow")
+    {
+        this->faults.delay = std::chrono::milliseconds{chosen.value("delay_ms", std::int64_t{0})};
+    }
+    kinds[kind]->start(count, end);
+    if (kind == "down")
+    {
+        this->end_all_watches();
+    }
+    to.send({control::status::ok, control::json_type, "{}"});
+}
+
+answer platform_server::state::describe_counters() const
+{
+    const platform_counters& now = this->counters;
+    const std::uint64_t calls = now.reads + now.lists + now.watches + now.writes + now.removals;
+    const json text{{"calls", calls},
+                    {"reads", now.reads},
+                    {"lists", now.lists},
+                    {"watches", now.watches},
+                    {"waiting_watches", this->watches.size()},
+                    {"writes", now.writes},
+                    {"removals", now.removals},
+                    {"conflicts", now.conflicts},
+                    {"refused", now.refused},
+                    {"unavailable", now.unavailable},
+                    {"lost_answers", now.lost_answers}};
+    return {control::status::ok, control::json_type, text.dump()};
+}
+
+platform_server::platform_server(net::event_loop& loop, const platform_settings& chosen)
+    : data(std::make_unique<state>(loop, chosen))
+{
+    state* const shared = this->data.get();
+    const auto api_call = [shared](call_rate& rate, state::operation run) -> control::handler
+    {
+        return [shared, &rate, run](const request& message, const responder& to)
+        {
+            shared->call(rate, run, message, to);
+        };
+    };
+    this->data->api = control::server::builder{loop}
+                          .listen(chosen.listen)
+                          .route("GET", "/v1/objects", api_call(shared->reads, &state::list))
+                          .route("GET", std::string{objects_path}, api_call(shared->reads, &state::get))
+                          .route("PUT", std::string{objects_path}, api_call(shared->writes, &state::put))
+                          .route("DELETE", std::string{objects_path}, api_call(shared->writes, &state::erase))
+                          .build();
+    if (!chosen.control.has_value())
+    {
+        return;
+    }
+    this->data->control_api =
+        control::server::builder{loop}
+            .listen(*chosen.control)
+            .route("GET", "/counters",
+                   [shared](const request&, const responder& to) { to.send(shared->describe_counters()); })
+            .route("POST", "/faults",
+                   [shared](const request& message, const responder& to) { shared->set_fault(message, to); })
+            .route("DELETE", "/faults",
+                   [shared](const request&, const responder& to)
+                   {
+                       shared->faults = {};
+                       to.send({control::status::ok, control::json_type, "{}"});
+                   })
+            .build();
+}
+
+platform_server::~platform_server()
+{
+    this->data->control_api.reset();
+    this->data->api.reset();
+}
+
+const core::socket_address& platform_server::address() const noexcept
+{
+    return this->data->api->address();
+}
+
+std::optional<core::socket_address> platform_server::control_address() const
+{
+    return this->data->control_api == nullptr ? std::nullopt : std::optional{this->data->control_api->address()};
+}
+
+const platform_counters& platform_server::counters() const noexcept
+{
+    return this->data->counters;
+}
+
+} // namespace poplarport::standins
