Add poplarctl and the page of result codes

Cause: operators change the configuration only through a manifest, and a change must be applied once, whatever happens to an answer. Change: check, diff, apply, status, drain, explain and hash-secret, each with a table or JSON. The services are written before the list of their names.

--- /dev/null
+++ b/apps/poplarctl/src/platform_client.cpp
@@ -0,0 +1,106 @@
+#include "platform_client.hpp"
+
+#include <chrono>  // seconds
+#include <utility> // move
+
+#include <nlohmann/json.hpp>
+
+#include "poplarport/net/timer.hpp"
+
+namespace poplarport::poplarctl
+{
+namespace
+{
+
+using nlohmann::json;
+
+// The platform answers in milliseconds; a call that takes longer is read back or repeated.
+constexpr std::chrono::seconds call_timeout{5};
+
+std::string object_path(const std::string& key)
+{
+    return "/v1/objects/" + control::percent_encode(key);
+}
+
+core::version version_of(const json& node)
+{
+    const bool is_valid = node.is_object() && node.contains("version") && node["version"].is_number_unsigned();
+    return is_valid ? node["version"].get<core::version>() : 0;
+}
+
+} // namespace
+
+platform_client::platform_client(core::socket_address address) : client(this->loop), platform(std::move(address))
+{
+}
+
+control::reply platform_client::call(const core::socket_address& server, control::request message)
+{
+    control::reply result;
+    const auto finish = [this, &result](const control::reply& given)
+    {
+        result = given;
+        this->loop.stop();
+    };
+    this->client.send(server, std::move(message), call_timeout, finish);
+    this->loop.run();
+    return result;
+}
+
+object_read platform_client::read(const std::string& key)
+{
+    const control::reply reply = this->call(this->platform, {.path = object_path(key)});
+    if (!reply.received.has_value())
+    {
+        return {.fault = reply.error.message()};
+    }
+    if (reply.received->status == control::status::not_found)
+    {
+        return {.is_known = true};
+    }
+    const json node = json::parse(reply.received->body, nullptr, false);
+    const core::version version = version_of(node);
+    if (reply.received->status != control::status::ok || version == 0 || !node.contains("value"))
+    {
+        return {.fault = "the platform answered with status " + std::to_string(reply.received->status)};
+    }
+    return {.is_known = true, .version = version, .value = node["value"].dump()};
+}
+
+object_write platform_client::write(const std::string& key, std::string value, core::version expected)
+{
+    control::request message{.method = "PUT", .path = object_path(key), .body = std::move(value)};
+    message.headers.push_back({"content-type", control::json_type});
+    if (expected == 0)
+    {
+        message.headers.push_back({"if-none-match", "*"});
+    }
+    else
+    {
+        message.headers.push_back({"if-match", "\"" + std::to_string(expected) + "\""});
+    }
+    const control::reply reply = this->call(this->platform, std::move(message));
+    if (!reply.received.has_value())
+    {
+        return {};
+    }
+    const core::version version = version_of(json::parse(reply.received->body, nullptr, false));
+    if (reply.received->status == control::status::precondition_failed)
+    {
+        return {object_write::kind::refused, version};
+    }
+    const bool is_written = reply.received->status == control::status::ok && version != 0;
+    return {is_written ? object_write::kind::written : object_write::kind::lost, version};
+}
+
+void platform_client::wait_until(core::time_point time)
+{
+    net::timer limit{this->loop, [this]
+                     {
+                         this->loop.stop();
+                     }};
+    limit.schedule(time - this->loop.now());
+    this->loop.run();
+}
+
+} // namespace poplarport::poplarctl
--- /dev/null
+++ b/apps/poplarctl/tests/unit-poplarctl.cpp
@@ -0,0 +1,181 @@
+#include "poplarctl.hpp"
+
+#include <atomic>   // atomic
+#include <fstream>  // ifstream
+#include <future>   // promise
+#include <iterator> // istreambuf_iterator
+#include <sstream>  // istringstream, ostringstream
+#include <string>   // string
+#include <thread>   // thread
+#include <tuple>    // tie
+#include <vector>   // vector
+
+#include <CppUTest/TestHarness.h>
+
+#include "platform_client.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/standins/platform/platform_server.hpp"
+
+using namespace poplarport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string source = POPLARPORT_SOURCE;
+const std::string kolam = source + "/samples/kolam.toml";
+
+/// @brief The platform's stand-in on a thread of its own, since the commands block.
+class platform_thread
+{
+  public:
+    platform_thread()
+    {
+        std::promise<std::pair<core::socket_address, core::socket_address>> ready;
+        auto addresses = ready.get_future();
+        this->worker = std::thread{[this, &ready]
+                                   {
+                                       net::event_loop loop;
+                                       standins::platform_settings chosen;
+                                       chosen.control = core::socket_address{"127.0.0.1", 0};
+                                       const standins::platform_server server{loop, chosen};
+                                       ready.set_value({server.address(), *server.control_address()});
+                                       net::timer check{loop, [this, &loop, &check]
+                                                        {
+                                                            if (this->is_stopping)
+                                                            {
+                                                                loop.stop();
+                                                            }
+                                                            check.schedule(5ms);
+                                                        }};
+                                       check.schedule(5ms);
+                                       loop.run();
+                                   }};
+        std::tie(this->api, this->control) = addresses.get();
+    }
+
+    ~platform_thread()
+    {
+        this->is_stopping = true;
+        this->worker.join();
+    }
+
+    platform_thread(const platform_thread&) = delete;
+    platform_thread& operator=(const platform_thread&) = delete;
+
+    core::socket_address api;
+    core::socket_address control;
+
+  private:
+    std::atomic<bool> is_stopping{false};
+    std::thread worker;
+};
+
+struct outcome
+{
+    int status;
+    std::string out;
+    std::string err;
+};
+
+outcome run_command(std::vector<std::string> words, const std::string& input = "")
+{
+    words.insert(words.begin(), "poplarctl");
+    std::vector<const char*> arguments;
+    for (const std::string& word : words)
+    {
+        arguments.push_back(word.c_str());
+    }
+    std::istringstream in{input};
+    std::ostringstream out;
+    std::ostringstream err;
+    const int status = poplarctl::run(static_cast<int>(arguments.size()), arguments.data(), {in, out, err});
+    return {status, out.str(), err.str()};
+}
+
+struct command_case
+{
+    std::vector<std::string> words;
+    int status;
+    const char* in_output;
+};
+
+} // namespace
+
+TEST_GROUP(poplarctl){};
+
+// Guards against a wrong command line that runs, and against wrong exit codes.
+TEST(poplarctl, commands_have_their_exit_codes)
+{
+    const command_case cases[] = {
+        {{"--help"}, 0, "check FILE"},
+        {{}, 64, "expected check FILE"},
+        {{"check"}, 64, "expected check FILE"},
+        {{"nonsense"}, 64, "expected check FILE"},
+        {{"diff", kolam}, 64, "needs --platform"},
+        {{"check", kolam, "--output", "xml"}, 64, "--output"},
+        {{"check", kolam}, 0, "valid, 2 services, 5 tenants"},
+        {{"check", "absent.toml"}, 65, "settings 100"},
+        {{"check", "absent.toml", "--output", "json"}, 65, "\"code\": 100"},
+        {{"explain", "204"}, 0, "document_too_large"},
+        {{"explain", "99999"}, 65, "is not a result code"},
+        {{"status", "--platform", "127.0.0.1:1"}, 69, "No connection"},
+        {{"drain", "127.0.0.1:1"}, 69, "No connection"},
+        {{"drain", "nowhere"}, 64, "not an IP number"},
+    };
+    for (const command_case& sample : cases)
+    {
+        const outcome result = run_command(sample.words);
+        LONGS_EQUAL_TEXT(sample.status, result.status, (result.out + result.err).c_str());
+        STRCMP_CONTAINS(sample.in_output, (result.out + result.err).c_str());
+    }
+    LONGS_EQUAL(0, run_command({"hash-secret"}, "0123456789abcdef\n").status);
+    LONGS_EQUAL(65, run_command({"hash-secret"}, "short\n").status);
+}
+
+// Guards against a change that is written twice, lost, or written over another one.
+TEST(poplarctl, apply_is_one_conditional_update_for_each_object)
+{
+    const platform_thread platform;
+    const std::string address = core::to_string(platform.api);
+    poplarctl::platform_client client{platform.api};
+    const auto fault = [&](const char* text)
+    {
+        static_cast<void>(client.call(platform.control, {.method = "POST", .path = "/faults", .body = text}));
+    };
+
+    STRCMP_CONTAINS("new", run_command({"diff", kolam, "--platform", address}).out.c_str());
+    // The first write takes effect and loses its answer; the command reads it back.
+    fault(R"({"kind":"lost_answer","count":1})");
+    const outcome first = run_command({"apply", kolam, "--platform", address, "--change-id", "c1"});
+    LONGS_EQUAL_TEXT(0, first.status, (first.out + first.err).c_str());
+    UNSIGNED_LONGS_EQUAL(1, client.read("services/orders").version);
+    UNSIGNED_LONGS_EQUAL(3, client.read("root").version);
+
+    const outcome again = run_command({"apply", kolam, "--platform", address, "--change-id", "c2"});
+    LONGS_EQUAL_TEXT(0, again.status, again.err.c_str());
+    UNSIGNED_LONGS_EQUAL_TEXT(1, client.read("services/orders").version, "an unchanged document was written");
+    STRCMP_CONTAINS("unchanged", run_command({"diff", kolam, "--platform", address}).out.c_str());
+
+    // Another operator's change is in force; one that is based on the version before it must lose.
+    const auto written = client.write("services/orders", R"({"recent_changes":[{"id":"other","base":1}]})", 1);
+    CHECK_TRUE(written.result == poplarctl::object_write::kind::written);
+    const outcome loser =
+        run_command({"apply", kolam, "--platform", address, "--based-on", "orders=1", "--output", "json"});
+    LONGS_EQUAL_TEXT(75, loser.status, (loser.out + loser.err).c_str());
+    STRCMP_CONTAINS("\"opponent\": \"other\"", loser.out.c_str());
+    UNSIGNED_LONGS_EQUAL(written.version, client.read("services/orders").version);
+    STRCMP_CONTAINS("c1", run_command({"status", "--platform", address}).out.c_str());
+
+    fault(R"({"kind":"down"})");
+    LONGS_EQUAL(69, run_command({"apply", kolam, "--platform", address, "--timeout-s", "1"}).status);
+}
+
+// Guards against a page that does not show the result codes of the libraries.
+TEST(poplarctl, page_of_result_codes_is_up_to_date)
+{
+    std::ifstream stream{source + "/docs/result-codes.md"};
+    const std::string page{std::istreambuf_iterator<char>{stream}, std::istreambuf_iterator<char>{}};
+    CHECK_TRUE_TEXT(page == run_command({"explain", "--all", "--output", "markdown"}).out,
+                    "write the page with: poplarctl explain --all --output markdown > docs/result-codes.md");
+}
