--- a/libs/manifest/tests/unit-reader.cpp
+++ b/libs/manifest/tests/unit-reader.cpp
@@ -53,6 +53,19 @@
     UNSIGNED_LONGS_EQUAL(6, kolam.content.zone_costs.size());
 }
 
+// Guards against a reference page whose example the current checks refuse.
+TEST(manifest_reader, example_of_the_page_is_valid)
+{
+    std::ifstream stream{samples + "/../docs/operators/manifest.md"};
+    const std::string page{std::istreambuf_iterator<char>{stream}, std::istreambuf_iterator<char>{}};
+    const std::string opening = "```toml\n";
+    const auto begin = page.find(opening) + opening.size();
+    const auto end = page.find("```", begin);
+    CHECK_TRUE(end != std::string::npos);
+    const auto result = read(document::from_text(page.substr(begin, end - begin), "manifest.md"));
+    STRCMP_EQUAL("", to_string(result.faults).c_str());
+}
+
 // Guards against a broken rule that is accepted, or reported at another key.
 TEST(manifest_reader, each_broken_rule_is_a_fault_at_its_key)
 {
