poplarctl: explain the codes of wire, and hold the page to every library

Cause: the library wire reached main with a table that explain did not list. Ruled out: relying on memory when a library gets a table. Change: wire is listed; the test of the page looks for a section for each library that has errors.hpp. Measured: unit_poplarctl passes (3 tests, 64 checks). Conclusion: a library with result codes that explain does not list fails the test.

--- a/apps/poplarctl/src/explain.cpp
+++ b/apps/poplarctl/src/explain.cpp
@@ -18,6 +18,7 @@
 #include "poplarport/peer/errors.hpp"
 #include "poplarport/routing/errors.hpp"
 #include "poplarport/settings/errors.hpp"
+#include "poplarport/wire/errors.hpp"
 
 namespace poplarport::poplarctl
 {
@@ -33,7 +34,7 @@
         &settings::category(), &manifest::category(),   &routing::category(),       &admission::category(),
         &attempts::category(), &membership::category(), &configuration::category(), &net::category(),
         &http::category(),     &control::category(),    &peer::category(),          &node::category(),
-        &limits::category()};
+        &limits::category(),   &wire::category()};
     std::erase_if(all, [](const auto* category) { return category->entries().empty(); });
     std::ranges::sort(all, {}, [](const auto* category) { return category->entries().front().number; });
     return all;
--- a/apps/poplarctl/tests/unit-poplarctl.cpp
+++ b/apps/poplarctl/tests/unit-poplarctl.cpp
@@ -1,14 +1,15 @@
 #include "poplarctl.hpp"
 
-#include <atomic>   // atomic
-#include <fstream>  // ifstream
-#include <future>   // promise
-#include <iterator> // istreambuf_iterator
-#include <sstream>  // istringstream, ostringstream
-#include <string>   // string
-#include <thread>   // thread
-#include <tuple>    // tie
-#include <vector>   // vector
+#include <atomic>     // atomic
+#include <filesystem> // directory_iterator, exists
+#include <fstream>    // ifstream
+#include <future>     // promise
+#include <iterator>   // istreambuf_iterator
+#include <sstream>    // istringstream, ostringstream
+#include <string>     // string
+#include <thread>     // thread
+#include <tuple>      // tie
+#include <vector>     // vector
 
 #include <CppUTest/TestHarness.h>
 
@@ -82,6 +83,7 @@
 {
     words.insert(words.begin(), "poplarctl");
     std::vector<const char*> arguments;
+    arguments.reserve(words.size());
     for (const std::string& word : words)
     {
         arguments.push_back(word.c_str());
@@ -178,4 +180,10 @@
     const std::string page{std::istreambuf_iterator<char>{stream}, std::istreambuf_iterator<char>{}};
     CHECK_TRUE_TEXT(page == run_command({"explain", "--all", "--output", "markdown"}).out,
                     "write the page with: poplarctl explain --all --output markdown > docs/result-codes.md");
+    for (const auto& library : std::filesystem::directory_iterator{source + "/libs"})
+    {
+        const std::string name = library.path().filename().string();
+        const bool has_codes = std::filesystem::exists(library.path() / "include/poplarport" / name / "errors.hpp");
+        CHECK_TRUE_TEXT(!has_codes || page.find("\n## " + name + "\n") != std::string::npos, name.c_str());
+    }
 }
