--- a/apps/poplar-load/join_command.cpp
+++ b/apps/poplar-load/join_command.cpp
@@ -41,7 +41,8 @@
         }
         else
         {
-            result.push_back(list + "=" + argument);
+            result.push_back(list);
+            result.back().append("=").append(argument);
         }
     }
     return result;
@@ -118,6 +119,7 @@
     {
         const auto arguments = expand_lists(argc, argv);
         std::vector<const char*> pointers;
+        pointers.reserve(arguments.size());
         for (const auto& argument : arguments)
         {
             pointers.push_back(argument.c_str());
--- a/libs/load/src/report_svg.cpp
+++ b/libs/load/src/report_svg.cpp
@@ -107,7 +107,7 @@
 
 void draw_time_line(std::ostringstream& svg, const report& values, const latency_axis& axis)
 {
-    const double last = values.seconds.empty() ? 1.0 : std::max<double>(values.seconds.back().second, 1.0);
+    const double last = values.seconds.empty() ? 1.0 : std::max(static_cast<double>(values.seconds.back().second), 1.0);
     std::vector<point> medians;
     std::vector<point> tails;
     for (const auto& entry : values.seconds)
--- a/libs/load/src/runner.cpp
+++ b/libs/load/src/runner.cpp
@@ -136,6 +136,7 @@
 std::discrete_distribution<std::size_t> distribution_of(const std::vector<Item>& items)
 {
     std::vector<double> weights;
+    weights.reserve(items.size());
     for (const auto& item : items)
     {
         weights.push_back(item.weight);
@@ -191,7 +192,7 @@
 
 call_pointer runner::state::make_call(const arrival& due)
 {
-    const auto result = std::make_shared<call>();
+    auto result = std::make_shared<call>();
     const auto number = this->made++;
     const auto offset = duration_cast<microseconds>(due.offset);
     result->scheduled = this->began + due.offset;
--- a/libs/standins/src/upstream_answer_body.cpp
+++ b/libs/standins/src/upstream_answer_body.cpp
@@ -32,9 +32,9 @@
 {
     struct release
     {
-        void operator()(XXH64_state_t* hash) const noexcept
+        void operator()(XXH64_state_t* released) const noexcept
         {
-            XXH64_freeState(hash);
+            XXH64_freeState(released);
         }
     };
 
--- a/libs/standins/src/upstream_faults.cpp
+++ b/libs/standins/src/upstream_faults.cpp
@@ -139,12 +139,12 @@
         const auto entry = setters().find(key);
         if (entry == setters().end())
         {
-            std::string allowed;
+            std::string fault = "unknown key " + key + ", allowed:";
             for (const auto& [name, unused] : setters())
             {
-                allowed += (allowed.empty() ? "" : ", ") + name;
+                fault.append(" ").append(name);
             }
-            throw std::invalid_argument("unknown key " + key + ", allowed: " + allowed);
+            throw std::invalid_argument(fault);
         }
         entry->second(result, key, value);
     }
--- /dev/null
+++ b/tests/support/child_process.cpp
@@ -0,0 +1,358 @@
+#include "child_process.hpp"
+
+#include <array>        // array
+#include <csignal>      // kill, SIGKILL
+#include <cstdlib>      // mkdtemp
+#include <cstring>      // strlen
+#include <fstream>      // ifstream
+#include <sstream>      // istringstream, ostringstream
+#include <stdexcept>    // runtime_error
+#include <system_error> // generic_category, system_error
+#include <thread>       // sleep_for
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace poplarport::test
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds poll_interval{5};
+
+[[noreturn]] void throw_errno(const std::string& what)
+{
+    throw std::system_error(errno, std::generic_category(), what);
+}
+
+exit_status to_exit_status(int status)
+{
+    if (WIFSIGNALED(status))
+    {
+        return {-1, WTERMSIG(status)};
+    }
+    return {WEXITSTATUS(status), 0};
+}
+
+// The child's side of the start; uses only calls that are safe between fork and exec.
+[[noreturn]] void run_child(pid_t parent, const char* output, const char* errors, char* const* arguments)
+{
+    constexpr int cannot_run = 127;
+    constexpr mode_t mode = 0600;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    sigset_t none{};
+    sigemptyset(&none);
+    ::sigprocmask(SIG_SETMASK, &none, nullptr);
+    const int input = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+    const int out = ::open(output, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, mode);
+    const int err = ::open(errors, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, mode);
+    // The test program may have ended before the kernel knew that this child ends with it.
+    if (::getppid() != parent || input < 0 || out < 0 || err < 0)
+    {
+        ::_exit(cannot_run);
+    }
+    ::dup2(input, STDIN_FILENO);
+    ::dup2(out, STDOUT_FILENO);
+    ::dup2(err, STDERR_FILENO);
+    ::execv(arguments[0], arguments);
+    ::_exit(cannot_run);
+}
+
+} // namespace
+
+scratch_folder::scratch_folder()
+{
+    auto pattern = (std::filesystem::temp_directory_path() / "poplarport-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr)
+    {
+        throw_errno("mkdtemp");
+    }
+    this->folder = pattern;
+}
+
+scratch_folder::~scratch_folder()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+std::filesystem::path scratch_folder::file(const std::string& name) const
+{
+    return this->folder / name;
+}
+
+const std::filesystem::path& scratch_folder::path() const noexcept
+{
+    return this->folder;
+}
+
+child_process::child_process(const scratch_folder& scratch, const std::string& name, const std::string& program,
+                             const std::vector<std::string>& arguments)
+    : output_file(scratch.file(name + ".out")), error_file(scratch.file(name + ".err"))
+{
+    std::vector<std::string> words{std::string{POPLARPORT_PROGRAM_FOLDER} + "/" + program};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
+    for (auto& word : words)
+    {
+        pointers.push_back(word.data());
+    }
+    pointers.push_back(nullptr);
+    const pid_t parent = ::getpid();
+    this->child = ::fork();
+    if (this->child < 0)
+    {
+        throw_errno("fork");
+    }
+    if (this->child == 0)
+    {
+        run_child(parent, this->output_file.c_str(), this->error_file.c_str(), pointers.data());
+    }
+}
+
+child_process::~child_process()
+{
+    if (this->is_running())
+    {
+        // SIGKILL also ends a stopped process.
+        this->send_signal(SIGKILL);
+        int status = 0;
+        ::waitpid(this->child, &status, 0);
+    }
+}
+
+std::string child_process::address(const std::string& listener, std::chrono::milliseconds limit) const
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    do
+    {
+        std::istringstream lines{this->output()};
+        for (std::string line; std::getline(lines, line);)
+        {
+            std::istringstream words{line};
+            std::string first;
+            std::string name;
+            std::string address;
+            // A line without its end may be incomplete.
+            if (!lines.eof() && words >> first >> name >> address && first == "listening" && name == listener)
+            {
+                return address;
+            }
+        }
+        std::this_thread::sleep_for(poll_interval);
+    } while (std::chrono::steady_clock::now() < end);
+    throw std::runtime_error("no line \"listening " + listener + "\"; output: " + this->output() + this->errors());
+}
+
+void child_process::terminate()
+{
+    this->send_signal(SIGTERM);
+}
+
+void child_process::kill()
+{
+    this->send_signal(SIGKILL);
+}
+
+void child_process::stop()
+{
+    this->send_signal(SIGSTOP);
+    int status = 0;
+    if (!this->ended && ::waitpid(this->child, &status, WUNTRACED) == this->child && !WIFSTOPPED(status))
+    {
+        this->ended = to_exit_status(status);
+    }
+}
+
+void child_process::resume()
+{
+    this->send_signal(SIGCONT);
+}
+
+std::optional<exit_status> child_process::wait(std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (this->is_running() && std::chrono::steady_clock::now() < end)
+    {
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return this->ended;
+}
+
+bool child_process::is_running()
+{
+    int status = 0;
+    if (!this->ended && ::waitpid(this->child, &status, WNOHANG) == this->child)
+    {
+        this->ended = to_exit_status(status);
+    }
+    return !this->ended;
+}
+
+pid_t child_process::id() const noexcept
+{
+    return this->child;
+}
+
+std::string child_process::output() const
+{
+    return read_file(this->output_file);
+}
+
+std::string child_process::errors() const
+{
+    return read_file(this->error_file);
+}
+
+void child_process::send_signal(int number)
+{
+    // After the wait the id may belong to another process.
+    if (this->is_running())
+    {
+        ::kill(this->child, number);
+    }
+}
+
+std::optional<exit_status> run_program(const scratch_folder& scratch, const std::string& name,
+                                       const std::string& program, const std::vector<std::string>& arguments,
+                                       std::chrono::milliseconds limit)
+{
+    child_process process{scratch, name, program, arguments};
+    return process.wait(limit);
+}
+
+std::string read_file(const std::filesystem::path& file)
+{
+    const std::ifstream input{file};
+    std::ostringstream text;
+    if (input)
+    {
+        text << input.rdbuf();
+    }
+    return text.str();
+}
+
+namespace
+{
+
+class loopback_socket
+{
+  public:
+    loopback_socket() : descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+    }
+
+    ~loopback_socket()
+    {
+        ::close(this->descriptor);
+    }
+
+    loopback_socket(const loopback_socket&) = delete;
+    loopback_socket& operator=(const loopback_socket&) = delete;
+
+    [[nodiscard]] int get() const noexcept
+    {
+        return this->descriptor;
+    }
+
+  private:
+    int descriptor;
+};
+
+sockaddr_in to_kernel(const std::string& host, std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+    return address;
+}
+
+bool has_whole_answer(const std::string& text)
+{
+    const std::string length_name = "Content-Length: ";
+    const auto head_end = text.find("\r\n\r\n");
+    const auto length = text.find(length_name);
+    if (head_end == std::string::npos || length == std::string::npos)
+    {
+        return false;
+    }
+    const auto head_bytes = head_end + std::strlen("\r\n\r\n");
+    return text.size() >= head_bytes + std::stoul(text.substr(length + length_name.size()));
+}
+
+} // namespace
+
+std::string http_request(const std::string& address, const std::string& method, const std::string& target,
+                         const std::string& body, std::chrono::milliseconds limit)
+{
+    constexpr std::chrono::milliseconds second{1000};
+    const auto colon = address.rfind(':');
+    const auto kernel =
+        to_kernel(address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
+    const loopback_socket socket;
+    const timeval timeout{limit / second, (limit % second).count() * 1000};
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+    const std::string request = method + " " + target + " HTTP/1.1\r\nHost: " + address +
+                                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string answer;
+    if (::connect(socket.get(), reinterpret_cast<const sockaddr*>(&kernel), sizeof kernel) != 0 ||
+        ::send(socket.get(), request.data(), request.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(request.size()))
+    {
+        return answer;
+    }
+    std::array<char, 4096> buffer{};
+    for (ssize_t count = 1; count > 0 && !has_whole_answer(answer);)
+    {
+        count = ::recv(socket.get(), buffer.data(), buffer.size(), 0);
+        answer.append(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    }
+    return answer;
+}
+
+std::vector<std::uint16_t> free_ports(std::size_t count)
+{
+    // All sockets stay open until the end, so that the ports differ.
+    const std::vector<loopback_socket> sockets(count);
+    std::vector<std::uint16_t> ports;
+    for (const auto& socket : sockets)
+    {
+        auto address = to_kernel("127.0.0.1", 0);
+        socklen_t length = sizeof address;
+        if (::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+            ::getsockname(socket.get(), reinterpret_cast<sockaddr*>(&address), &length) != 0)
+        {
+            throw_errno("bind");
+        }
+        ports.push_back(ntohs(address.sin_port));
+    }
+    return ports;
+}
+
+void pause(std::chrono::milliseconds time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+double verdict_value(const std::string& verdict, const std::string& key)
+{
+    std::istringstream words{verdict};
+    for (std::string word; words >> word;)
+    {
+        if (word.starts_with(key + "="))
+        {
+            return std::stod(word.substr(key.size() + 1));
+        }
+    }
+    return -1.0;
+}
+
+} // namespace poplarport::test
