--- a/libs/load/include/poplarport/load/plan.hpp
+++ b/libs/load/include/poplarport/load/plan.hpp
@@ -17,7 +17,7 @@
 /// @brief How arrivals are spread over a phase.
 enum class arrival_process
 {
-    constant, ///< equal gaps
+    constant, ///< equal gaps, the first call at the start of the phase
     poisson   ///< exponential gaps
 };
 
--- a/libs/load/include/poplarport/load/schedule.hpp
+++ b/libs/load/include/poplarport/load/schedule.hpp
@@ -36,6 +36,7 @@
     std::size_t current{0};
     double phase_start_s{0.0};
     double position_s{0.0}; ///< within the current phase
+    std::size_t arrivals_in_phase{0};
 };
 
 } // namespace poplarport::load
--- a/libs/load/src/schedule.cpp
+++ b/libs/load/src/schedule.cpp
@@ -23,21 +23,28 @@
         const auto& running = this->phases[this->current];
         const double rate = running.calls_per_second;
         const double length_s = seconds_f{running.length}.count();
-        double gap_s = length_s;
-        if (rate > 0.0)
+        if (rate <= 0.0)
         {
-            gap_s = running.arrivals == arrival_process::constant
-                        ? 1.0 / rate
-                        : std::exponential_distribution<double>{rate}(this->random);
+            this->position_s = length_s;
+        }
+        else if (running.arrivals == arrival_process::constant)
+        {
+            // A sum of gaps would collect rounding errors.
+            this->position_s = static_cast<double>(this->arrivals_in_phase) / rate;
+        }
+        else
+        {
+            this->position_s += std::exponential_distribution<double>{rate}(this->random);
         }
-        this->position_s += gap_s;
         if (this->position_s < length_s)
         {
+            ++this->arrivals_in_phase;
             const seconds_f offset{this->phase_start_s + this->position_s};
             return arrival{std::chrono::duration_cast<core::duration>(offset), this->current};
         }
         this->phase_start_s += length_s;
         this->position_s = 0.0;
+        this->arrivals_in_phase = 0;
         ++this->current;
     }
     return std::nullopt;
--- /dev/null
+++ b/libs/load/tests/unit-plan.cpp
@@ -0,0 +1,195 @@
+#include <algorithm> // count_if, is_sorted
+#include <chrono>    // milliseconds
+#include <stdexcept> // invalid_argument
+#include <string>    // string
+#include <vector>    // vector
+
+#include "poplarport/load/plan.hpp"
+#include "poplarport/load/report.hpp"
+#include "poplarport/load/schedule.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::vector<core::duration> offsets_of(const std::vector<load::phase>& phases, std::uint64_t seed)
+{
+    load::schedule arrivals{phases, seed};
+    std::vector<core::duration> result;
+    while (const auto next = arrivals.next())
+    {
+        result.push_back(next->offset);
+    }
+    return result;
+}
+
+const std::string full_plan = R"(
+name = "steps"
+seed = 7
+targets = ["127.0.0.1:8001", "[::1]:8002"]
+target_choice = "by_key"
+service = "orders"
+deadline_ms = 500
+timeout_ms = 900
+connections = 12
+[[tenant]]
+name = "growers"
+secret = "s"
+weight = 2
+[[call]]
+method = "POST"
+path = "/confirmations"
+repeatable = false
+weight = 0.5
+request_bytes = [1, 100]
+answer_bytes = [0, 200]
+[[phase]]
+name = "warm"
+length_ms = 1000
+calls_per_second = 50
+arrivals = "constant"
+[[phase]]
+name = "peak"
+length_ms = 2000
+calls_per_second = 200.5
+)";
+
+} // namespace
+
+TEST_GROUP(plan){};
+
+// Guards against arrivals at another rate than asked for, out of order, or that differ for one seed.
+TEST(plan, schedule_has_the_rate_and_repeats)
+{
+    const std::vector<load::phase> phases{
+        {.length = 10s, .calls_per_second = 100.0, .arrivals = load::arrival_process::poisson},
+        {.length = 5s, .calls_per_second = 0.0},
+        {.length = 1s, .calls_per_second = 10.0, .arrivals = load::arrival_process::constant}};
+    const auto offsets = offsets_of(phases, 3);
+    CHECK(offsets == offsets_of(phases, 3));
+    CHECK(offsets != offsets_of(phases, 4));
+    CHECK(std::is_sorted(offsets.begin(), offsets.end()));
+    const auto in_first = std::count_if(offsets.begin(), offsets.end(), [](core::duration at) { return at < 10s; });
+    // Four standard deviations of a Poisson count of 1000.
+    CHECK(in_first > 1000 - 127 && in_first < 1000 + 127);
+    CHECK_EQUAL(static_cast<std::size_t>(in_first) + 10, offsets.size());
+    CHECK(offsets[static_cast<std::size_t>(in_first)] >= 15s);
+}
+
+// Guards against a key of the settings file that is read into another value, or not at all.
+TEST(plan, settings_file_is_read)
+{
+    const auto values = load::read_plan(full_plan, "plan.toml", {});
+    STRCMP_EQUAL("steps", values.name.c_str());
+    CHECK_EQUAL(7U, values.seed);
+    CHECK_EQUAL(2U, values.targets.size());
+    CHECK(values.targets[1] == (core::socket_address{"::1", 8002}));
+    CHECK(values.choice == load::target_choice::by_key);
+    STRCMP_EQUAL("orders", values.service.c_str());
+    CHECK(values.deadline == 500ms);
+    CHECK(values.timeout == 900ms);
+    CHECK_EQUAL(12U, values.connections);
+    STRCMP_EQUAL("growers", values.tenants.at(0).name.c_str());
+    STRCMP_EQUAL("s", values.tenants.at(0).secret.c_str());
+    DOUBLES_EQUAL(2.0, values.tenants.at(0).weight, 0.0);
+    const auto& kind = values.calls.at(0);
+    STRCMP_EQUAL("POST /confirmations", kind.name().c_str());
+    CHECK(!kind.repeatable);
+    DOUBLES_EQUAL(0.5, kind.weight, 0.0);
+    CHECK_EQUAL(100U, kind.request_bytes.most);
+    CHECK_EQUAL(200U, kind.answer_bytes.most);
+    CHECK_EQUAL(2U, values.phases.size());
+    CHECK(values.phases[0].arrivals == load::arrival_process::constant);
+    CHECK(values.phases[1].arrivals == load::arrival_process::poisson);
+    CHECK(values.phases[1].length == 2s);
+    DOUBLES_EQUAL(200.5, values.phases[1].calls_per_second, 0.0);
+    CHECK(load::check(values).empty());
+}
+
+// Guards against faults that are found one at a time, without their line, or that repeat a secret.
+TEST(plan, all_faults_of_a_settings_file_are_reported)
+{
+    const std::string text = "seed = -1\n"
+                             "targets = [\"localhost\"]\n"
+                             "rate = 5\n"
+                             "[[tenant]]\n"
+                             "secret = 5551212\n"
+                             "[[phase]]\n"
+                             "arrivals = \"uniform\"\n";
+    std::string message;
+    try
+    {
+        (void)load::read_plan(text, "plan.toml", {});
+    }
+    catch (const std::invalid_argument& fault)
+    {
+        message = fault.what();
+    }
+    for (const auto* part : {"plan.toml:1: seed: allowed: a whole number", "plan.toml:2: targets: ",
+                             "plan.toml:3: rate: allowed: no such key; known here: call, connections",
+                             "plan.toml:5: tenant.secret: ", "plan.toml:7: phase.arrivals: allowed: constant, poisson"})
+    {
+        CHECK_TEXT(message.find(part) != std::string::npos, (part + (" not in " + message)).c_str());
+    }
+    CHECK(message.find("5551212") == std::string::npos);
+    CHECK_THROWS(std::invalid_argument, (void)load::read_plan("seed = ", "plan.toml", {}));
+}
+
+// Guards against a plan that cannot be run and is found out only while it runs.
+TEST(plan, check_finds_what_cannot_be_run)
+{
+    CHECK_EQUAL(4U, load::check({}).size());
+    auto values = load::read_plan(full_plan, "plan.toml", {});
+    values.calls[0].path = "confirmations";
+    values.calls[0].answer_bytes = {5, 4};
+    values.phases[0].length = 0ms;
+    values.phases[1].calls_per_second = -1.0;
+    values.tenants[0].weight = 0.0;
+    values.connections = 0;
+    values.deadline = 0ms;
+    CHECK_EQUAL(7U, load::check(values).size());
+}
+
+// Guards against calls that are counted in another group, and against a histogram that loses calls.
+TEST(plan, report_groups_by_tenant_kind_and_phase)
+{
+    auto values = load::read_plan(full_plan, "plan.toml", {});
+    values.name = "<a&b>";
+    values.tenants.push_back({.name = "dealers"});
+    std::vector<load::call_sample> samples;
+    for (int index = 1; index <= 200; ++index)
+    {
+        samples.push_back({.offset = index * 10ms,
+                           .latency = index * 1ms,
+                           .tenant = index % 2 == 0 ? 0U : 1U,
+                           .phase = index < 100 ? 0U : 1U,
+                           .outcome = load::call_outcome::answered});
+    }
+    samples.push_back({.latency = 900ms, .outcome = load::call_outcome::unknown});
+    const auto result = load::summarise(values, samples);
+    CHECK_EQUAL(201U, result.total.calls());
+    CHECK_EQUAL(200U, result.total.latencies.size());
+    CHECK_EQUAL(100U, result.groups.at(0).answered);
+    CHECK_EQUAL(1U, result.groups.at(0).unknown);
+    CHECK_EQUAL(100U, result.groups.at(1).answered);
+    CHECK_EQUAL(101U, result.phases.at(1).answered);
+    CHECK_EQUAL(3U, result.seconds.size());
+    CHECK(result.seconds[1].p50 == 149ms);
+    std::size_t counted = 0;
+    auto least = 0us;
+    for (const auto& bucket : load::histogram(result.total.latencies))
+    {
+        CHECK(bucket.upper > least);
+        counted += bucket.count;
+        least = bucket.upper;
+    }
+    CHECK_EQUAL(200U, counted);
+    CHECK(least >= 200ms && least < 240ms);
+    CHECK(load::to_text(result).find("growers POST /confirmations") != std::string::npos);
+    CHECK(load::to_json(result).find("\"histogram\"") != std::string::npos);
+    CHECK(load::to_svg(result).find("&lt;a&amp;b&gt;") != std::string::npos);
+}
