Let the harness send further fields; test cold start and straggling

Cause: tests with nodes need credentials on single requests, and libwebsockets writes field names in lower case, which the harness did not recognise as a length. Ruled out: an HTTP library in the harness; it sends one request at a time. Change: http_request takes fields and finds the length without regard to case. A test shows that cold start and straggling lengthen service times.

--- a/libs/standins/tests/unit-upstream_server.cpp
+++ b/libs/standins/tests/unit-upstream_server.cpp
@@ -265,6 +265,28 @@
     }
 }
 
+// Guards against a cold start or straggling that has no effect; a slow machine can only lengthen the time.
+TEST(upstream_server, cold_start_and_straggling_lengthen_service_times)
+{
+    struct slow_case
+    {
+        std::chrono::milliseconds cold_start;
+        double straggle;
+        std::chrono::milliseconds least;
+    };
+    for (const auto& tested_case : {slow_case{60s, 1.0, 40ms}, slow_case{0ms, 5.0, 50ms}, slow_case{60s, 2.0, 80ms}})
+    {
+        auto settings = settings_with(1, 1, 10.0);
+        settings.cold_start = tested_case.cold_start;
+        settings.cold_factor = 4.0;
+        settings.initial_faults.straggle = tested_case.straggle;
+        fixture tested{settings};
+        const auto start = tested.loop.now();
+        CHECK(tested.finish(tested.call("k")));
+        CHECK(tested.loop.now() - start >= tested_case.least);
+    }
+}
+
 // Guards against a partial answer that arrives as a whole one.
 TEST(upstream_server, close_mid_answer_breaks_the_connection)
 {
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,6 +1,8 @@
 #include "child_process.hpp"
 
+#include <algorithm>    // max, transform
 #include <array>        // array
+#include <cctype>       // tolower
 #include <csignal>      // kill, SIGKILL
 #include <cstdlib>      // mkdtemp
 #include <cstring>      // strlen
@@ -275,23 +277,29 @@
     return address;
 }
 
+// Answers with neither a length nor an end of the connection are read until the time limit.
 bool has_whole_answer(const std::string& text)
 {
-    const std::string length_name = "Content-Length: ";
+    const std::string length_name = "\r\ncontent-length: ";
     const auto head_end = text.find("\r\n\r\n");
-    const auto length = text.find(length_name);
-    if (head_end == std::string::npos || length == std::string::npos)
+    if (head_end == std::string::npos)
     {
         return false;
     }
+    std::string head = text.substr(0, head_end);
+    std::transform(head.begin(), head.end(), head.begin(),
+                   [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    const auto length = head.find(length_name);
     const auto head_bytes = head_end + std::strlen("\r\n\r\n");
-    return text.size() >= head_bytes + std::stoul(text.substr(length + length_name.size()));
+    return length != std::string::npos &&
+           text.size() >= head_bytes + std::stoul(head.substr(length + length_name.size()));
 }
 
 } // namespace
 
 std::string http_request(const std::string& address, const std::string& method, const std::string& target,
-                         const std::string& body, std::chrono::milliseconds limit)
+                         const std::string& body, std::chrono::milliseconds limit,
+                         const std::vector<std::string>& fields)
 {
     constexpr std::chrono::milliseconds second{1000};
     const auto colon = address.rfind(':');
@@ -301,8 +309,12 @@
     const timeval timeout{limit / second, (limit % second).count() * 1000};
     ::setsockopt(socket.get(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     ::setsockopt(socket.get(), SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
-    const std::string request = method + " " + target + " HTTP/1.1\r\nHost: " + address +
-                                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string request = method + " " + target + " HTTP/1.1\r\nHost: " + address + "\r\n";
+    for (const auto& field : fields)
+    {
+        request.append(field).append("\r\n");
+    }
+    request.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
     std::string answer;
     if (::connect(socket.get(), reinterpret_cast<const sockaddr*>(&kernel), sizeof kernel) != 0 ||
         ::send(socket.get(), request.data(), request.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(request.size()))
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -117,10 +117,12 @@
 /// @brief Sends one HTTP request and reads the whole answer, for control addresses.
 /// @param[in] address HOST:PORT
 /// @param[in] limit   time for each step
+/// @param[in] fields  further fields, each as `Name: value`
 /// @return status line, fields and body; empty when there was no answer
 [[nodiscard]] std::string http_request(const std::string& address, const std::string& method, const std::string& target,
                                        const std::string& body = {},
-                                       std::chrono::milliseconds limit = std::chrono::seconds{5});
+                                       std::chrono::milliseconds limit = std::chrono::seconds{5},
+                                       const std::vector<std::string>& fields = {});
 
 /// @return free loopback ports, all different; another process may take one before it is used
 [[nodiscard]] std::vector<std::uint16_t> free_ports(std::size_t count);
--- a/tests/support/unit-child_process.cpp
+++ b/tests/support/unit-child_process.cpp
@@ -26,6 +26,8 @@
     CHECK(answer.ends_with("{\"status\":\"ok\"}"));
     CHECK(test::http_request(upstream.address("control"), "POST", "/faults", "{\"shed\":true}").find("\"shed\":true") !=
           std::string::npos);
+    const auto refused = test::http_request(upstream.address("u1"), "POST", "/quotes", "x", 5s, {"X-Request-Key: k"});
+    CHECK(refused.find("Poplar-Not-Run: true\r\n") != std::string::npos);
     CHECK(upstream.is_running());
     upstream.terminate();
     CHECK(upstream.wait() == (test::exit_status{0, 0}));
