Exit with 78 for faults of poplar-load's settings file

Cause: an unknown key in the file ended with 64, which is for faults of options. Change: faults of the file have an exception of their own. Conclusion: a pipeline can tell a wrong call from a wrong file.

--- a/apps/poplar-load/run_command.cpp
+++ b/apps/poplar-load/run_command.cpp
@@ -120,6 +120,11 @@
         }
         request = read_run_request(parsed);
     }
+    catch (const settings_fault& fault)
+    {
+        std::cerr << "poplar-load: " << fault.what() << '\n';
+        return EX_CONFIG;
+    }
     catch (const std::exception& fault)
     {
         std::cerr << "poplar-load: " << fault.what() << '\n';
--- a/apps/poplar-load/run_options.cpp
+++ b/apps/poplar-load/run_options.cpp
@@ -300,7 +300,15 @@
     if (parsed.count("settings") != 0)
     {
         const auto file = parsed["settings"].as<std::string>();
-        request.values = read_plan(read_file(file), file, request.values);
+        const auto text = read_file(file);
+        try
+        {
+            request.values = read_plan(text, file, request.values);
+        }
+        catch (const std::invalid_argument& fault)
+        {
+            throw settings_fault(fault.what());
+        }
     }
     apply_targets(parsed, request.values);
     apply_calls(parsed, request.values);
--- a/apps/poplar-load/run_options.hpp
+++ b/apps/poplar-load/run_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <filesystem> // path
+#include <stdexcept>  // runtime_error
 #include <string>     // string
 
 #include <cxxopts.hpp>
@@ -10,6 +11,13 @@
 namespace poplarport::load
 {
 
+/// @brief Faults of a settings file, a line each.
+class settings_fault : public std::runtime_error
+{
+  public:
+    using std::runtime_error::runtime_error;
+};
+
 /// @brief What the options of a run ask for.
 struct run_request
 {
@@ -24,7 +32,8 @@
 [[nodiscard]] cxxopts::Options make_run_options();
 
 /// @brief Reads the options of a run, over those of the settings file.
-/// @throw std::invalid_argument with the faults of an option
+/// @throw std::invalid_argument with the fault of an option
+/// @throw settings_fault with the faults of the settings file
 [[nodiscard]] run_request read_run_request(const cxxopts::ParseResult& parsed);
 
 } // namespace poplarport::load
--- a/tests/load/process-load.cpp
+++ b/tests/load/process-load.cpp
@@ -1,4 +1,5 @@
 #include <chrono>   // milliseconds
+#include <fstream>  // ofstream
 #include <optional> // optional
 #include <string>   // string
 #include <vector>   // vector
@@ -159,6 +160,27 @@
     }
 }
 
+// Guards against faults of the settings that have another exit code than documented.
+TEST(process_load, faults_of_settings_have_their_exit_codes)
+{
+    struct settings_case
+    {
+        const char* name;
+        const char* text;
+        int code;
+    };
+    for (const auto& tested : {settings_case{"good", "targets = [\"127.0.0.1:1\"]", 0},
+                               settings_case{"unknown key", "targets = [\"127.0.0.1:1\"]\nrate = 5", 78},
+                               settings_case{"syntax", "targets = ", 78}, settings_case{"no target", "seed = 1", 78}})
+    {
+        std::ofstream{scratch.file("plan.toml")} << tested.text;
+        const arguments words{"--check-settings", "--settings", scratch.file("plan.toml")};
+        CHECK_TEXT(test::run_program(scratch, "load", "poplar-load", words) == (test::exit_status{tested.code, 0}),
+                   tested.name);
+    }
+    CHECK(test::run_program(scratch, "load", "poplar-load", {"--rate", "x"}) == (test::exit_status{64, 0}));
+}
+
 // Guards against calls that vanish with their load tool: they have to be lost, by name, with the exit code 1.
 TEST(process_load, killed_load_tool_leaves_lost_calls)
 {
