routing: trust reports less after refusals that they did not foretell

Cause: an endpoint that always reports no load attracted calls and redirects although it refused them. Ruled out: comparing a report with the own calls in flight; with many senders each has too few calls at an endpoint to contradict a report. Change: each endpoint has a trust in its reports. A refusal by an endpoint that seemed to have free slots lowers it by the square of the free part; each answer restores 1 % of what is missing. Trust scales the confidence in the report, and below 0.5 the endpoint is not named as a better peer. A refused, failed or withdrawn call also ends the trial of a straggler. Late reports remain.

--- a/libs/routing/include/poplarport/routing/detail/endpoint_state.hpp
+++ b/libs/routing/include/poplarport/routing/detail/endpoint_state.hpp
@@ -15,13 +15,14 @@
 struct endpoint_state
 {
     std::shared_ptr<const endpoint> target;
-    core::duration travel{0};              ///< round trip to another zone, zero within the zone
-    core::time_point added_at;             ///< start of the ramp
-    bool is_cold{false};                   ///< joined after the router's first list, or restarted
-    bool is_draining{false};               ///< announced or reported; sticky for an incarnation
-    core::load_report report;              ///< newest report; its slots are zero when none arrived
-    core::time_point reported_at;          ///< when the report arrived
-    std::uint32_t own_at_report{0};        ///< own calls in flight when the report arrived
+    core::duration travel{0};       ///< round trip to another zone, zero within the zone
+    core::time_point added_at;      ///< start of the ramp
+    bool is_cold{false};            ///< joined after the router's first list, or restarted
+    bool is_draining{false};        ///< announced or reported; sticky for an incarnation
+    core::load_report report;       ///< newest report; its slots are zero when none arrived
+    core::time_point reported_at;   ///< when the report arrived
+    std::uint32_t own_at_report{0}; ///< own calls in flight when the report arrived
+    double trust{1.0};              ///< in the reports, from 0 to 1; falls with refusals that they did not foretell
     measuring::duration_estimator latency; ///< of own calls, without the travel
     std::uint32_t answers{0};              ///< own calls answered since the mark expired, as evidence for a mark
     bool has_hint{false};                  ///< an idle hint is not used up
--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -133,6 +133,7 @@
     [[nodiscard]] state& best_candidate(core::time_point now, std::mt19937_64& random);
     [[nodiscard]] state* due_trial(core::time_point now);
     void take_report(state& value, const core::load_report& report, core::time_point now);
+    void lower_trust(state& value, core::time_point now) noexcept;
     void update_typical_load() noexcept;
     void update_mark(state& value, core::time_point now);
     void end_trial(state& value, core::duration latency, core::time_point now);
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -18,6 +18,12 @@
 // Answered calls that the latency estimate covers.
 constexpr double latency_memory = 8.0;
 
+// Part of the missing trust in an endpoint's reports that each answer restores.
+constexpr double trust_regained = 0.01;
+
+// An endpoint is named as a better peer only above this trust in its reports.
+constexpr double least_trust_of_peer = 0.5;
+
 // Age of a report from which a message may ask for a new one, for the same two preferences.
 constexpr std::chrono::milliseconds lazy_probe_age{4000};
 constexpr double probe_age_ratio = 1.0 / 64.0;
@@ -117,7 +123,7 @@
     const state* best = nullptr;
     for (const state& item : this->states)
     {
-        const bool is_known = item.report.slots > 0 && !item.is_draining;
+        const bool is_known = item.report.slots > 0 && item.trust >= least_trust_of_peer && !item.is_draining;
         const bool is_avoided = now < item.marked_until || now < item.failed_until || was_tried(request, *item.target);
         if (is_known && !is_avoided && (best == nullptr || this->score_of(item, now) < this->score_of(*best, now)))
         {
@@ -185,6 +191,7 @@
     }
     found->latency.on_finished(now, -found->travel);
     ++found->answers;
+    found->trust += trust_regained * (1.0 - found->trust);
     found->failures = 0;
     found->failed_until = {};
     if (report)
@@ -208,6 +215,8 @@
     found->latency.on_abandoned(now);
     found->failures = 0;
     found->failed_until = {};
+    found->has_trial = false;
+    this->lower_trust(*found, now);
     if (report)
     {
         this->take_report(*found, *report, now);
@@ -223,6 +232,7 @@
     }
     found->latency.on_abandoned(now);
     found->has_hint = false;
+    found->has_trial = false;
     // Calls that fail together, as when a connection breaks, are one failure.
     if (now >= found->failed_until)
     {
@@ -237,6 +247,7 @@
     if (state* found = this->find(id); found != nullptr)
     {
         found->latency.on_abandoned(now);
+        found->has_trial = false;
     }
 }
 
@@ -328,7 +339,7 @@
 double router::load_of(const state& value, core::time_point now) const noexcept
 {
     const double age = in_nanoseconds(now - value.reported_at) / in_nanoseconds(this->settings.report_half_life);
-    const double confidence = value.report.slots > 0 ? std::exp2(-std::max(0.0, age)) : 0.0;
+    const double confidence = value.report.slots > 0 ? value.trust * std::exp2(-std::max(0.0, age)) : 0.0;
     // An outdated report says as much as the other endpoints' reports: its load tends to the mean, not to zero.
     const double typical = this->typical_load * this->slots_of(value, now);
     return value.in_flight() + confidence * others_of(value) + (1.0 - confidence) * typical;
@@ -414,6 +425,15 @@
     this->update_typical_load();
 }
 
+// A refusal by an endpoint that seemed to have free slots shows that its reports are late or wrong. The square keeps
+// the trust at high load, where a slot that seemed free is often taken meanwhile.
+void router::lower_trust(state& value, core::time_point now) noexcept
+{
+    const double seemed_free = 1.0 - this->load_of(value, now) / this->slots_of(value, now);
+    const double surprise = std::clamp(seemed_free, 0.0, 1.0);
+    value.trust *= 1.0 - surprise * surprise;
+}
+
 void router::update_typical_load() noexcept
 {
     double sum = 0.0;
--- a/libs/routing/tests/unit-router.cpp
+++ b/libs/routing/tests/unit-router.cpp
@@ -248,6 +248,23 @@
     STRCMP_EQUAL(three[1].id.c_str(), value.best_peer({self}, start)->target->id.c_str());
 }
 
+// Guards against an endpoint that attracts calls and redirects with wrong reports although it refuses the calls.
+TEST(router, refusals_that_reports_did_not_foretell_lower_the_trust_in_them)
+{
+    router value = make_router(three);
+    for (int round = 0; round < 20; ++round)
+    {
+        value.on_report(three[0].id, make_report(0), start);
+        value.on_report(three[1].id, make_report(4), start);
+        value.on_report(three[2].id, make_report(4), start);
+        value.on_sent(three[0].id, start);
+        value.on_refused(three[0].id, make_report(0), start);
+    }
+    const double untrusted_part = count_picks(value, start)[three[0].id] / 300.0;
+    CHECK(untrusted_part < 0.7); // two of three pairs of candidates contain the endpoint
+    CHECK(value.best_peer({}, start)->target->id != three[0].id);
+}
+
 // Guards against allocation on the path of every call.
 TEST(router, pick_does_not_allocate)
 {
