routing: count redirected calls as load of the named peer

Cause: with late reports all receivers named the same endpoint as better placed until its queue was full, and the redirected calls had no further redirect. Change: on_redirected adds a call to the named endpoint's expected load; it halves with each half-life of a report.

--- a/bench/policy/poplarport.cpp
+++ b/bench/policy/poplarport.cpp
@@ -265,6 +265,10 @@
         }
         if (decision.what == admission::action::refuse)
         {
+            if (better)
+            {
+                node.router.on_redirected(this->names[*better], now);
+            }
             this->refuse(call, endpoint, better);
         }
     }
--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -72,6 +72,10 @@
     /// @return the endpoint, or nothing when no unmarked endpoint with a report is left
     [[nodiscard]] std::optional<choice> best_peer(const pick_request& request, core::time_point now) const;
 
+    /// @brief A refused call was told that an endpoint is better placed; the endpoint counts as more loaded for a
+    /// while.
+    void on_redirected(std::string_view id, core::time_point now);
+
     /// @return why `pick` finds no endpoint for a request
     [[nodiscard]] std::error_code why_none(const pick_request& request) const noexcept;
 
@@ -126,6 +130,7 @@
     [[nodiscard]] state make_state(std::shared_ptr<const endpoint> target, core::time_point now) const;
     [[nodiscard]] double slots_of(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] double service_time_of(const state& value) const noexcept;
+    [[nodiscard]] double redirected_to(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] double load_of(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] double score_of(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] core::duration wait_of(const state& value, core::time_point now) const noexcept;
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -137,6 +137,15 @@
     return choice{best->target, pick_reason::score, this->wait_of(*best, now)};
 }
 
+void router::on_redirected(std::string_view id, core::time_point now)
+{
+    if (state* found = this->find(id); found != nullptr)
+    {
+        found->redirected = this->redirected_to(*found, now) + 1.0;
+        found->redirected_at = now;
+    }
+}
+
 std::error_code router::why_none(const pick_request& request) const noexcept
 {
     if (this->states.empty())
@@ -308,6 +317,7 @@
                 .report = {},
                 .reported_at = {},
                 .latency = {this->settings.assumed_service_time, latency_memory, now},
+                .redirected_at = {},
                 .hint_until = {},
                 .marked_until = {},
                 .next_trial = {},
@@ -336,13 +346,20 @@
     return in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
 }
 
+double router::redirected_to(const state& value, core::time_point now) const noexcept
+{
+    const double age = in_nanoseconds(now - value.redirected_at) / in_nanoseconds(this->settings.report_half_life);
+    return value.redirected * std::exp2(-std::max(0.0, age));
+}
+
 double router::load_of(const state& value, core::time_point now) const noexcept
 {
     const double age = in_nanoseconds(now - value.reported_at) / in_nanoseconds(this->settings.report_half_life);
     const double confidence = value.report.slots > 0 ? value.trust * std::exp2(-std::max(0.0, age)) : 0.0;
     // An outdated report says as much as the other endpoints' reports: its load tends to the mean, not to zero.
     const double typical = this->typical_load * this->slots_of(value, now);
-    return value.in_flight() + confidence * others_of(value) + (1.0 - confidence) * typical;
+    const double others = confidence * others_of(value) + (1.0 - confidence) * typical;
+    return value.in_flight() + this->redirected_to(value, now) + others;
 }
 
 double router::score_of(const state& value, core::time_point now) const noexcept
--- a/libs/routing/tests/unit-router.cpp
+++ b/libs/routing/tests/unit-router.cpp
@@ -265,6 +265,26 @@
     CHECK(value.best_peer({}, start)->target->id != three[0].id);
 }
 
+// Guards against naming one idle peer for all refused calls of the same moment.
+TEST(router, redirected_calls_count_as_load_for_a_while)
+{
+    router value = make_router(three);
+    for (const endpoint& item : three)
+    {
+        value.on_report(item.id, make_report(item.id == three[0].id ? 2 : 4), start);
+    }
+    STRCMP_EQUAL(three[0].id.c_str(), value.best_peer({}, start)->target->id.c_str());
+    for (int call = 0; call < 3; ++call)
+    {
+        value.on_redirected(three[0].id, start);
+    }
+    CHECK(value.best_peer({}, start)->target->id != three[0].id);
+    value.on_report(three[0].id, make_report(2), start + 1s);
+    value.on_report(three[1].id, make_report(4), start + 1s);
+    value.on_report(three[2].id, make_report(4), start + 1s);
+    STRCMP_EQUAL(three[0].id.c_str(), value.best_peer({}, start + 1s)->target->id.c_str());
+}
+
 // Guards against allocation on the path of every call.
 TEST(router, pick_does_not_allocate)
 {
