admission: let queued requests run when the gate drains

Ruled out: refusing the queue so that senders redirect it; a queued request may already have used its one redirect. Change: drain only refuses later requests; queued ones keep their deadlines. The refused calls were redirected to the draining endpoint by receivers that had not heard of the drain. Conclusion: kept for the accepted requests; the refused calls need the retry of the attempts library.

--- a/libs/admission/include/poplarport/admission/gate.hpp
+++ b/libs/admission/include/poplarport/admission/gate.hpp
@@ -71,9 +71,8 @@
     /// @throw std::invalid_argument when there is no slot or a weight is not positive
     [[nodiscard]] changes set_limits(limits value, core::time_point now);
 
-    /// @brief Refuses all queued and later requests; running requests continue.
-    /// @return the refused requests
-    [[nodiscard]] changes drain();
+    /// @brief Refuses all later requests; queued and running requests continue within their deadlines.
+    void drain() noexcept;
 
     /// @return the load as it travels on answers; `slots` is the limit in force
     [[nodiscard]] core::load_report load(core::time_point now) const;
--- a/libs/admission/src/gate.cpp
+++ b/libs/admission/src/gate.cpp
@@ -129,15 +129,9 @@
     return this->expire(now);
 }
 
-changes gate::drain()
+void gate::drain() noexcept
 {
     this->is_draining = true;
-    changes result;
-    for (const ticket& value : this->queue.take_due_before(core::time_point::max()))
-    {
-        result.refused.push_back({value.id, make_error_code(errors::draining)});
-    }
-    return result;
 }
 
 core::load_report gate::load(core::time_point now) const
