routing: send idle hints only when the other endpoints are busier

Cause: at load 0.5 every endpoint sent hints up to the budget, although senders find free slots anyway. Change: is_hint_useful compares the own load with the mean of the others; the mean from which hints are sent follows from the two weights.

--- a/bench/policy/poplarport.cpp
+++ b/bench/policy/poplarport.cpp
@@ -327,7 +327,8 @@
     {
         const core::load_report load =
             this->value.falsified(endpoint, this->nodes[endpoint].gate.load(this->loop.now()));
-        if (load.draining || load.queued > 0 || load.in_flight >= load.slots || !this->spend(endpoint, size::hint))
+        const bool is_useful = this->nodes[endpoint].router.is_hint_useful(load, this->loop.now());
+        if (!is_useful || !this->spend(endpoint, size::hint))
         {
             return;
         }
--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -72,6 +72,14 @@
     /// @return the endpoint, or nothing when no unmarked endpoint with a report is left
     [[nodiscard]] std::optional<choice> best_peer(const pick_request& request, core::time_point now) const;
 
+    /// @brief Tells whether an idle hint of this node's own endpoint is worth its cost.
+    ///
+    /// A hint helps only when the other endpoints are busier; how busy they must be follows from the two weights.
+    /// @param[in] own load of the own endpoint
+    /// @param[in] now reading of the clock
+    /// @return whether the endpoint has a free slot that others lack
+    [[nodiscard]] bool is_hint_useful(const core::load_report& own, core::time_point now) const noexcept;
+
     /// @brief A refused call was told that an endpoint is better placed; the endpoint counts as more loaded for a
     /// while.
     void on_redirected(std::string_view id, core::time_point now);
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -24,6 +24,11 @@
 // An endpoint is named as a better peer only above this trust in its reports.
 constexpr double least_trust_of_peer = 0.5;
 
+// Mean load per slot from which idle hints are worth their cost, with a full preference for a low cost of measuring and
+// with a full preference for low tail latency.
+constexpr double lazy_hint_load = 1.0;
+constexpr double eager_hint_load = 0.5;
+
 // Age of a report from which a message may ask for a new one, for the same two preferences.
 constexpr std::chrono::milliseconds lazy_probe_age{4000};
 constexpr double probe_age_ratio = 1.0 / 64.0;
@@ -137,6 +142,22 @@
     return choice{best->target, pick_reason::score, this->wait_of(*best, now)};
 }
 
+bool router::is_hint_useful(const core::load_report& own, core::time_point now) const noexcept
+{
+    if (own.draining || own.queued > 0 || own.in_flight >= own.slots || this->states.empty())
+    {
+        return false;
+    }
+    double sum = 0.0;
+    for (const state& item : this->states)
+    {
+        sum += this->load_of(item, now) / this->slots_of(item, now);
+    }
+    const double mean = sum / static_cast<double>(this->states.size());
+    const double busy = lazy_hint_load + (eager_hint_load - lazy_hint_load) * this->preference;
+    return mean >= busy && static_cast<double>(own.in_flight) / own.slots < mean;
+}
+
 void router::on_redirected(std::string_view id, core::time_point now)
 {
     if (state* found = this->find(id); found != nullptr)
--- a/libs/routing/tests/unit-router.cpp
+++ b/libs/routing/tests/unit-router.cpp
@@ -285,6 +285,29 @@
     STRCMP_EQUAL(three[0].id.c_str(), value.best_peer({}, start + 1s)->target->id.c_str());
 }
 
+// Guards against hints that cost messages while every endpoint is idle, or that come from a busy one.
+TEST(router, idle_hint_is_useful_only_when_the_others_are_busier)
+{
+    struct hint_case
+    {
+        double tail_latency_weight;
+        std::uint32_t others;
+        std::uint32_t own;
+        bool is_useful;
+    };
+    for (const hint_case& item : {hint_case{1.0, 7, 4, true}, hint_case{1.0, 2, 1, false}, hint_case{1.0, 7, 8, false},
+                                  hint_case{0.0, 7, 4, false}, hint_case{0.0, 9, 4, true}})
+    {
+        router value = router::builder{}.weights(item.tail_latency_weight, 1.0 - item.tail_latency_weight).build();
+        value.set_endpoints(three, start);
+        for (const endpoint& other : three)
+        {
+            value.on_report(other.id, make_report(item.others), start);
+        }
+        CHECK_EQUAL(item.is_useful, value.is_hint_useful(make_report(item.own), start));
+    }
+}
+
 // Guards against allocation on the path of every call.
 TEST(router, pick_does_not_allocate)
 {
