routing: mark stragglers at 3 to 5 times the median instead of 2 to 4

Cause: with the weights 3 : 1 endpoints were marked at 2.5 times the median, which an average of 8 service times reaches by chance. A mark takes a healthy endpoint away for a second and overloads the others. Ruled out: a longer memory of the average; it notices a straggler later. Change: the factor goes from 5 (cost first) to 3 (tail latency first).

--- a/libs/routing/src/router_marks.cpp
+++ b/libs/routing/src/router_marks.cpp
@@ -17,9 +17,10 @@
 constexpr std::size_t least_endpoints_for_median = 3;
 
 // A straggler's latency is this many times the median: from the first value with a full preference for a low cost of
-// measuring to the second with a full preference for low tail latency.
-constexpr double lazy_straggler_factor = 4.0;
-constexpr double eager_straggler_factor = 2.0;
+// measuring to the second with a full preference for low tail latency. An average of 8 exponential times exceeds twice
+// its mean once in 100 times, so a factor of 2 marks healthy endpoints and overloads the others.
+constexpr double lazy_straggler_factor = 5.0;
+constexpr double eager_straggler_factor = 3.0;
 
 constexpr std::uint32_t greatest_mark_doublings = 3;
 
