routing: ignore idle hints of endpoints whose reports are not trusted

Cause: with late reports, hints are late too, and each makes its endpoint a candidate of one more pick. Ruled out: no hints at all; they help with stragglers and at load 0.95. Change: hints count only from a trust of 0.5, as for better peers.

--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -21,8 +21,8 @@
 // Part of the missing trust in an endpoint's reports that each answer restores.
 constexpr double trust_regained = 0.01;
 
-// An endpoint is named as a better peer only above this trust in its reports.
-constexpr double least_trust_of_peer = 0.5;
+// An endpoint is named as a better peer, and its idle hints count, only from this trust in its reports.
+constexpr double least_trust = 0.5;
 
 // Mean load per slot from which idle hints are worth their cost, with a full preference for a low cost of measuring and
 // with a full preference for low tail latency.
@@ -128,7 +128,7 @@
     const state* best = nullptr;
     for (const state& item : this->states)
     {
-        const bool is_known = item.report.slots > 0 && item.trust >= least_trust_of_peer && !item.is_draining;
+        const bool is_known = item.report.slots > 0 && item.trust >= least_trust && !item.is_draining;
         const bool is_avoided = now < item.marked_until || now < item.failed_until || was_tried(request, *item.target);
         if (is_known && !is_avoided && (best == nullptr || this->score_of(item, now) < this->score_of(*best, now)))
         {
@@ -293,7 +293,7 @@
 void router::on_idle_hint(std::string_view id, std::uint32_t free_slots, core::time_point now)
 {
     state* found = this->find(id);
-    if (found == nullptr || free_slots == 0)
+    if (found == nullptr || free_slots == 0 || found->trust < least_trust)
     {
         return;
     }
--- a/libs/routing/tests/unit-router.cpp
+++ b/libs/routing/tests/unit-router.cpp
@@ -251,6 +251,7 @@
 // Guards against an endpoint that attracts calls and redirects with wrong reports although it refuses the calls.
 TEST(router, refusals_that_reports_did_not_foretell_lower_the_trust_in_them)
 {
+    std::mt19937_64 random{5};
     router value = make_router(three);
     for (int round = 0; round < 20; ++round)
     {
@@ -263,6 +264,8 @@
     const double untrusted_part = count_picks(value, start)[three[0].id] / 300.0;
     CHECK(untrusted_part < 0.7); // two of three pairs of candidates contain the endpoint
     CHECK(value.best_peer({}, start)->target->id != three[0].id);
+    value.on_idle_hint(three[0].id, 8, start);
+    CHECK(value.pick({}, start, random)->reason == pick_reason::score);
 }
 
 // Guards against naming one idle peer for all refused calls of the same moment.
