routing: let reports fade with the service time instead of a fixed half-life

Cause: the calls in a report have mostly ended after one service time; a half-life of 25 ms is too long for calls of 10 ms and too short for slower ones. Change: confidence in a report falls by e with each service time; redirected calls count for four service times. The setting report_half_life is gone.

--- a/libs/routing/include/poplarport/routing/detail/endpoint_state.hpp
+++ b/libs/routing/include/poplarport/routing/detail/endpoint_state.hpp
@@ -25,7 +25,7 @@
     double trust{1.0};              ///< in the reports, from 0 to 1; falls with refusals that they did not foretell
     measuring::duration_estimator latency; ///< of own calls, without the travel
     std::uint32_t answers{0};              ///< own calls answered since the mark expired, as evidence for a mark
-    double redirected{0.0};                ///< calls redirected to the endpoint, halved with each half-life
+    double redirected{0.0};                ///< calls redirected to the endpoint, decaying with the service time
     core::time_point redirected_at;        ///< when it was last updated
     bool has_hint{false};                  ///< an idle hint is not used up
     core::time_point hint_until;
--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -25,12 +25,11 @@
 /// @brief Settings of a router.
 struct router_settings
 {
-    std::string availability_zone;                                  ///< zone of the node itself
-    core::duration zone_cost{std::chrono::milliseconds{1}};         ///< extra round trip of a call to another zone
-    double tail_latency_weight{1.0};                                ///< weight of low tail latency
-    double measuring_cost_weight{1.0};                              ///< weight of a low cost of measuring
-    core::duration report_half_life{std::chrono::milliseconds{25}}; ///< a report's load counts half after this time
-    core::duration hint_lifetime{std::chrono::milliseconds{20}};    ///< an idle hint is valid this long
+    std::string availability_zone;                               ///< zone of the node itself
+    core::duration zone_cost{std::chrono::milliseconds{1}};      ///< extra round trip of a call to another zone
+    double tail_latency_weight{1.0};                             ///< weight of low tail latency
+    double measuring_cost_weight{1.0};                           ///< weight of a low cost of measuring
+    core::duration hint_lifetime{std::chrono::milliseconds{20}}; ///< an idle hint is valid this long
     core::duration straggler_mark{std::chrono::seconds{1}}; ///< first length of a straggler mark; doubles up to 8 times
     core::duration straggler_trial{std::chrono::seconds{1}}; ///< time between calls that probe a marked straggler
     core::duration failure_back_off{
@@ -44,8 +43,8 @@
 ///
 /// The score of an endpoint is its expected load with this call, divided by its slots, times its service time, plus the
 /// travel to its zone. Expected load is the own calls in flight plus what others contributed to the newest load report,
-/// which tends to the mean of all endpoints as the report ages. Calls that end must be reported by exactly one of
-/// `on_answer`, `on_refused`, `on_failed` and `on_cancelled`. Events of unknown endpoints are ignored.
+/// which tends to the mean of all endpoints within about one service time. Calls that end must be reported by exactly
+/// one of `on_answer`, `on_refused`, `on_failed` and `on_cancelled`. Events of unknown endpoints are ignored.
 class router
 {
   public:
@@ -138,6 +137,7 @@
     [[nodiscard]] state make_state(std::shared_ptr<const endpoint> target, core::time_point now) const;
     [[nodiscard]] double slots_of(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] double service_time_of(const state& value) const noexcept;
+    [[nodiscard]] double remaining(core::duration age, const state& value) const noexcept;
     [[nodiscard]] double redirected_to(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] double load_of(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] double score_of(const state& value, core::time_point now) const noexcept;
@@ -193,13 +193,6 @@
         return *this;
     }
 
-    /// @param[in] value a report's load counts half after this time
-    builder& report_half_life(core::duration value) noexcept
-    {
-        this->settings.report_half_life = value;
-        return *this;
-    }
-
     /// @param[in] value an idle hint is valid this long
     builder& hint_lifetime(core::duration value) noexcept
     {
@@ -240,8 +233,8 @@
     }
 
     /// @return the router, without endpoints
-    /// @throw std::invalid_argument when a time or a weight is negative, both weights are zero, or the half-life, the
-    ///        assumed slots or the assumed service time is zero
+    /// @throw std::invalid_argument when a time or a weight is negative, both weights are zero, or the assumed slots
+    ///        or the assumed service time is zero
     [[nodiscard]] router build() const
     {
         return router{this->settings};
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -3,7 +3,7 @@
 #include "durations.hpp"
 
 #include <algorithm> // clamp, max, min, ranges::any_of, ranges::find, ranges::lower_bound, ranges::sort
-#include <cmath>     // exp2, pow
+#include <cmath>     // exp, pow
 #include <stdexcept> // invalid_argument
 
 namespace poplarport::routing
@@ -29,6 +29,10 @@
 constexpr double lazy_hint_load = 1.0;
 constexpr double eager_hint_load = 0.5;
 
+// Service times for which a redirected call counts as load. With one, receivers with late reports name the same peer
+// again before the reports show the calls.
+constexpr int redirect_memory = 4;
+
 // Age of a report from which a message may ask for a new one, for the same two preferences.
 constexpr std::chrono::milliseconds lazy_probe_age{4000};
 constexpr double probe_age_ratio = 1.0 / 64.0;
@@ -57,9 +61,9 @@
     {
         throw std::invalid_argument("the times of a router must not be negative");
     }
-    if (value.report_half_life <= zero || value.assumed_service_time <= zero || value.assumed_slots == 0)
+    if (value.assumed_service_time <= zero || value.assumed_slots == 0)
     {
-        throw std::invalid_argument("the half-life, assumed slots and assumed service time must be positive");
+        throw std::invalid_argument("the assumed slots and the assumed service time must be positive");
     }
     const bool are_weights_valid = value.tail_latency_weight >= 0.0 && value.measuring_cost_weight >= 0.0 &&
                                    value.tail_latency_weight + value.measuring_cost_weight > 0.0;
@@ -367,16 +371,21 @@
     return in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
 }
 
+// The calls that made up a load have mostly ended after one service time, so what is known of it fades at that rate.
+double router::remaining(core::duration age, const state& value) const noexcept
+{
+    return std::exp(-std::max(0.0, in_nanoseconds(age)) / this->service_time_of(value));
+}
+
 double router::redirected_to(const state& value, core::time_point now) const noexcept
 {
-    const double age = in_nanoseconds(now - value.redirected_at) / in_nanoseconds(this->settings.report_half_life);
-    return value.redirected * std::exp2(-std::max(0.0, age));
+    return value.redirected * this->remaining((now - value.redirected_at) / redirect_memory, value);
 }
 
 double router::load_of(const state& value, core::time_point now) const noexcept
 {
-    const double age = in_nanoseconds(now - value.reported_at) / in_nanoseconds(this->settings.report_half_life);
-    const double confidence = value.report.slots > 0 ? value.trust * std::exp2(-std::max(0.0, age)) : 0.0;
+    const double confidence =
+        value.report.slots > 0 ? value.trust * this->remaining(now - value.reported_at, value) : 0.0;
     // An outdated report says as much as the other endpoints' reports: its load tends to the mean, not to zero.
     const double typical = this->typical_load * this->slots_of(value, now);
     const double others = confidence * others_of(value) + (1.0 - confidence) * typical;
