--- a/bench/policy/poplarport.cpp
+++ b/bench/policy/poplarport.cpp
@@ -94,6 +94,7 @@
         routing::router router = routing::router::builder{}
                                      .availability_zone(this->zone(index))
                                      .zone_cost(round_trip)
+                                     .weights(this->value.tail_latency_weight, this->value.measuring_cost_weight)
                                      .assumed(static_cast<std::uint32_t>(this->value.slots), this->value.service)
                                      .build();
         return {std::move(router),
@@ -162,7 +163,7 @@
     {
         if (this->value.what == fault::drain)
         {
-            this->apply(this->nodes.front().gate.drain(), 0);
+            this->nodes.front().gate.drain();
         }
         if (this->value.what == fault::cold_start)
         {
@@ -265,6 +266,10 @@
         }
         if (decision.what == admission::action::refuse)
         {
+            if (better)
+            {
+                node.router.on_redirected(this->names[*better], now);
+            }
             this->refuse(call, endpoint, better);
         }
     }
@@ -323,7 +328,8 @@
     {
         const core::load_report load =
             this->value.falsified(endpoint, this->nodes[endpoint].gate.load(this->loop.now()));
-        if (load.draining || load.queued > 0 || load.in_flight >= load.slots || !this->spend(endpoint, size::hint))
+        const bool is_useful = this->nodes[endpoint].router.is_hint_useful(load, this->loop.now());
+        if (!is_useful || !this->spend(endpoint, size::hint))
         {
             return;
         }
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -3,7 +3,7 @@
 #include "durations.hpp"
 
 #include <algorithm> // clamp, max, min, ranges::any_of, ranges::find, ranges::lower_bound, ranges::sort
-#include <cmath>     // exp2, pow
+#include <cmath>     // exp, pow
 #include <stdexcept> // invalid_argument
 
 namespace poplarport::routing
@@ -18,6 +18,21 @@
 // Answered calls that the latency estimate covers.
 constexpr double latency_memory = 8.0;
 
+// Part of the missing trust in an endpoint's reports that each answer restores.
+constexpr double trust_regained = 0.01;
+
+// An endpoint is named as a better peer, and its idle hints count, only from this trust in its reports.
+constexpr double least_trust = 0.5;
+
+// Mean load per slot from which idle hints are worth their cost, with a full preference for a low cost of measuring and
+// with a full preference for low tail latency.
+constexpr double lazy_hint_load = 1.0;
+constexpr double eager_hint_load = 0.5;
+
+// Service times for which a redirected call counts as load. With one, receivers with late reports name the same peer
+// again before the reports show the calls.
+constexpr int redirect_memory = 4;
+
 // Age of a report from which a message may ask for a new one, for the same two preferences.
 constexpr std::chrono::milliseconds lazy_probe_age{4000};
 constexpr double probe_age_ratio = 1.0 / 64.0;
@@ -46,9 +61,9 @@
     {
         throw std::invalid_argument("the times of a router must not be negative");
     }
-    if (value.report_half_life <= zero || value.assumed_service_time <= zero || value.assumed_slots == 0)
+    if (value.assumed_service_time <= zero || value.assumed_slots == 0)
     {
-        throw std::invalid_argument("the half-life, assumed slots and assumed service time must be positive");
+        throw std::invalid_argument("the assumed slots and the assumed service time must be positive");
     }
     const bool are_weights_valid = value.tail_latency_weight >= 0.0 && value.measuring_cost_weight >= 0.0 &&
                                    value.tail_latency_weight + value.measuring_cost_weight > 0.0;
@@ -117,7 +132,7 @@
     const state* best = nullptr;
     for (const state& item : this->states)
     {
-        const bool is_known = item.report.slots > 0 && !item.is_draining;
+        const bool is_known = item.report.slots > 0 && item.trust >= least_trust && !item.is_draining;
         const bool is_avoided = now < item.marked_until || now < item.failed_until || was_tried(request, *item.target);
         if (is_known && !is_avoided && (best == nullptr || this->score_of(item, now) < this->score_of(*best, now)))
         {
@@ -131,6 +146,31 @@
     return choice{best->target, pick_reason::score, this->wait_of(*best, now)};
 }
 
+bool router::is_hint_useful(const core::load_report& own, core::time_point now) const noexcept
+{
+    if (own.draining || own.queued > 0 || own.in_flight >= own.slots || this->states.empty())
+    {
+        return false;
+    }
+    double sum = 0.0;
+    for (const state& item : this->states)
+    {
+        sum += this->load_of(item, now) / this->slots_of(item, now);
+    }
+    const double mean = sum / static_cast<double>(this->states.size());
+    const double busy = lazy_hint_load + (eager_hint_load - lazy_hint_load) * this->preference;
+    return mean >= busy && static_cast<double>(own.in_flight) / own.slots < mean;
+}
+
+void router::on_redirected(std::string_view id, core::time_point now)
+{
+    if (state* found = this->find(id); found != nullptr)
+    {
+        found->redirected = this->redirected_to(*found, now) + 1.0;
+        found->redirected_at = now;
+    }
+}
+
 std::error_code router::why_none(const pick_request& request) const noexcept
 {
     if (this->states.empty())
@@ -185,6 +225,7 @@
     }
     found->latency.on_finished(now, -found->travel);
     ++found->answers;
+    found->trust += trust_regained * (1.0 - found->trust);
     found->failures = 0;
     found->failed_until = {};
     if (report)
@@ -208,6 +249,8 @@
     found->latency.on_abandoned(now);
     found->failures = 0;
     found->failed_until = {};
+    found->has_trial = false;
+    this->lower_trust(*found, now);
     if (report)
     {
         this->take_report(*found, *report, now);
@@ -223,6 +266,7 @@
     }
     found->latency.on_abandoned(now);
     found->has_hint = false;
+    found->has_trial = false;
     // Calls that fail together, as when a connection breaks, are one failure.
     if (now >= found->failed_until)
     {
@@ -237,6 +281,7 @@
     if (state* found = this->find(id); found != nullptr)
     {
         found->latency.on_abandoned(now);
+        found->has_trial = false;
     }
 }
 
@@ -252,7 +297,7 @@
 void router::on_idle_hint(std::string_view id, std::uint32_t free_slots, core::time_point now)
 {
     state* found = this->find(id);
-    if (found == nullptr || free_slots == 0)
+    if (found == nullptr || free_slots == 0 || found->trust < least_trust)
     {
         return;
     }
@@ -297,6 +342,7 @@
                 .report = {},
                 .reported_at = {},
                 .latency = {this->settings.assumed_service_time, latency_memory, now},
+                .redirected_at = {},
                 .hint_until = {},
                 .marked_until = {},
                 .next_trial = {},
@@ -325,13 +371,25 @@
     return in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
 }
 
+// The calls that made up a load have mostly ended after one service time, so what is known of it fades at that rate.
+double router::remaining(core::duration age, const state& value) const noexcept
+{
+    return std::exp(-std::max(0.0, in_nanoseconds(age)) / this->service_time_of(value));
+}
+
+double router::redirected_to(const state& value, core::time_point now) const noexcept
+{
+    return value.redirected * this->remaining((now - value.redirected_at) / redirect_memory, value);
+}
+
 double router::load_of(const state& value, core::time_point now) const noexcept
 {
-    const double age = in_nanoseconds(now - value.reported_at) / in_nanoseconds(this->settings.report_half_life);
-    const double confidence = value.report.slots > 0 ? std::exp2(-std::max(0.0, age)) : 0.0;
+    const double confidence =
+        value.report.slots > 0 ? value.trust * this->remaining(now - value.reported_at, value) : 0.0;
     // An outdated report says as much as the other endpoints' reports: its load tends to the mean, not to zero.
     const double typical = this->typical_load * this->slots_of(value, now);
-    return value.in_flight() + confidence * others_of(value) + (1.0 - confidence) * typical;
+    const double others = confidence * others_of(value) + (1.0 - confidence) * typical;
+    return value.in_flight() + this->redirected_to(value, now) + others;
 }
 
 double router::score_of(const state& value, core::time_point now) const noexcept
@@ -414,6 +472,15 @@
     this->update_typical_load();
 }
 
+// A refusal by an endpoint that seemed to have free slots shows that its reports are late or wrong. The square keeps
+// the trust at high load, where a slot that seemed free is often taken meanwhile.
+void router::lower_trust(state& value, core::time_point now) noexcept
+{
+    const double seemed_free = 1.0 - this->load_of(value, now) / this->slots_of(value, now);
+    const double surprise = std::clamp(seemed_free, 0.0, 1.0);
+    value.trust *= 1.0 - surprise * surprise;
+}
+
 void router::update_typical_load() noexcept
 {
     double sum = 0.0;
--- a/libs/routing/tests/unit-router.cpp
+++ b/libs/routing/tests/unit-router.cpp
@@ -248,6 +248,69 @@
     STRCMP_EQUAL(three[1].id.c_str(), value.best_peer({self}, start)->target->id.c_str());
 }
 
+// Guards against an endpoint that attracts calls and redirects with wrong reports although it refuses the calls.
+TEST(router, refusals_that_reports_did_not_foretell_lower_the_trust_in_them)
+{
+    std::mt19937_64 random{5};
+    router value = make_router(three);
+    for (int round = 0; round < 20; ++round)
+    {
+        value.on_report(three[0].id, make_report(0), start);
+        value.on_report(three[1].id, make_report(4), start);
+        value.on_report(three[2].id, make_report(4), start);
+        value.on_sent(three[0].id, start);
+        value.on_refused(three[0].id, make_report(0), start);
+    }
+    const double untrusted_part = count_picks(value, start)[three[0].id] / 300.0;
+    CHECK(untrusted_part < 0.7); // two of three pairs of candidates contain the endpoint
+    CHECK(value.best_peer({}, start)->target->id != three[0].id);
+    value.on_idle_hint(three[0].id, 8, start);
+    CHECK(value.pick({}, start, random)->reason == pick_reason::score);
+}
+
+// Guards against naming one idle peer for all refused calls of the same moment.
+TEST(router, redirected_calls_count_as_load_for_a_while)
+{
+    router value = make_router(three);
+    for (const endpoint& item : three)
+    {
+        value.on_report(item.id, make_report(item.id == three[0].id ? 2 : 4), start);
+    }
+    STRCMP_EQUAL(three[0].id.c_str(), value.best_peer({}, start)->target->id.c_str());
+    for (int call = 0; call < 3; ++call)
+    {
+        value.on_redirected(three[0].id, start);
+    }
+    CHECK(value.best_peer({}, start)->target->id != three[0].id);
+    value.on_report(three[0].id, make_report(2), start + 1s);
+    value.on_report(three[1].id, make_report(4), start + 1s);
+    value.on_report(three[2].id, make_report(4), start + 1s);
+    STRCMP_EQUAL(three[0].id.c_str(), value.best_peer({}, start + 1s)->target->id.c_str());
+}
+
+// Guards against hints that cost messages while every endpoint is idle, or that come from a busy one.
+TEST(router, idle_hint_is_useful_only_when_the_others_are_busier)
+{
+    struct hint_case
+    {
+        double tail_latency_weight;
+        std::uint32_t others;
+        std::uint32_t own;
+        bool is_useful;
+    };
+    for (const hint_case& item : {hint_case{1.0, 7, 4, true}, hint_case{1.0, 2, 1, false}, hint_case{1.0, 7, 8, false},
+                                  hint_case{0.0, 7, 4, false}, hint_case{0.0, 9, 4, true}})
+    {
+        router value = router::builder{}.weights(item.tail_latency_weight, 1.0 - item.tail_latency_weight).build();
+        value.set_endpoints(three, start);
+        for (const endpoint& other : three)
+        {
+            value.on_report(other.id, make_report(item.others), start);
+        }
+        CHECK_EQUAL(item.is_useful, value.is_hint_useful(make_report(item.own), start));
+    }
+}
+
 // Guards against allocation on the path of every call.
 TEST(router, pick_does_not_allocate)
 {
