Add fuzz targets for the decoders of the call path

Cause: everything that another process sends is parsed before any check of its sender. Ruled out: libFuzzer alone. clang's runtime is not among the required packages, so a seeded driver with the same arguments runs the targets in every build. Change: tests/fuzz with targets for call metadata, answer metadata, the HTTP/1.1 parser (whole input against the same input in pieces) and the bytes of a server session; seeds in tests/fuzz/corpus; 'make fuzz' with libFuzzer, or the driver in a build with sanitizers. ctest runs 3000 mutations of each with a fixed seed.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,30 @@
 
 clean:
 	rm -rf build build-asan out
+
+# Fuzzing: libFuzzer where clang has it, else the seeded driver in a build with sanitizers.
+FUZZ_RUNS ?= 20000
+FUZZ_SEED ?= 1
+FUZZ_BUILD = build-fuzz
+FUZZ_TARGETS = $(patsubst tests/fuzz/fuzz-%.cpp,%,$(wildcard tests/fuzz/fuzz-*.cpp))
+
+.PHONY: fuzz
+
+fuzz: packages ## Runs each fuzz target FUZZ_RUNS times; new inputs stay in build-fuzz/corpus.
+	@mkdir -p $(FUZZ_BUILD)
+	@if echo 'extern "C" int LLVMFuzzerTestOneInput(const unsigned char*, unsigned long) { return 0; }' | \
+		clang++ -x c++ - -fsanitize=fuzzer -o $(FUZZ_BUILD)/probe 2>/dev/null; then \
+		cmake -S . -B $(FUZZ_BUILD) -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DPOPLARPORT_LIBFUZZER=ON \
+			-DPOPLARPORT_SANITIZERS=fuzzer-no-link,address,undefined >/dev/null; \
+	else \
+		echo "clang's libFuzzer is missing: using the seeded driver"; \
+		cmake -S . -B $(FUZZ_BUILD) -G Ninja -DPOPLARPORT_SANITIZERS=address,undefined >/dev/null; \
+	fi
+	cmake --build $(FUZZ_BUILD) -j $(JOBS) --target $(addprefix fuzz_,$(FUZZ_TARGETS))
+	@for name in $(FUZZ_TARGETS); do \
+		mkdir -p $(FUZZ_BUILD)/corpus/$$name && cp -n tests/fuzz/corpus/$$name/* $(FUZZ_BUILD)/corpus/$$name/; \
+		echo "fuzz_$$name"; \
+		$(FUZZ_BUILD)/tests/fuzz/fuzz_$$name -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) \
+			$(FUZZ_BUILD)/corpus/$$name >$(FUZZ_BUILD)/$$name.log 2>&1 || { tail -n 60 $(FUZZ_BUILD)/$$name.log; exit 1; }; \
+		tail -n 1 $(FUZZ_BUILD)/$$name.log; \
+	done
--- /dev/null
+++ b/tests/fuzz/fuzz-http_parser.cpp
@@ -0,0 +1,102 @@
+#include "fuzz_target.hpp"
+
+#include <algorithm> // min
+#include <string>    // string
+
+#include "poplarport/http/detail/message_parser.hpp"
+
+using namespace poplarport;
+
+namespace
+{
+
+constexpr std::size_t header_limit_bytes = 1024;
+
+// What the parser made of its input, as far as it may not depend on how the input was cut.
+struct transcript
+{
+    std::string text{};
+    std::error_code error{};
+    std::size_t messages{0};
+};
+
+void append_head(transcript& result, http::detail::message_parser& parser, bool is_request)
+{
+    result.text += is_request ? serialize(parser.request()) : serialize(parser.response());
+}
+
+// Parses everything at hand; returns whether more bytes are of use.
+bool parse(transcript& result, http::detail::message_parser& parser, bool is_request)
+{
+    while (true)
+    {
+        const auto unused = parser.unused_bytes();
+        const auto step = parser.step();
+        if (step.error)
+        {
+            result.error = step.error;
+            return false;
+        }
+        if (step.head_complete)
+        {
+            append_head(result, parser, is_request);
+        }
+        result.text += step.body;
+        if (step.message_complete)
+        {
+            result.text += "|";
+            ++result.messages;
+            parser.start();
+            continue;
+        }
+        if (step.needs_more)
+        {
+            return true;
+        }
+        fuzz::require(step.head_complete || !step.body.empty() || parser.unused_bytes() < unused,
+                      "each step makes progress");
+    }
+}
+
+transcript parse_in_pieces(std::string_view bytes, std::size_t piece_bytes, bool is_request)
+{
+    using http::detail::message_parser;
+    message_parser parser{is_request ? message_parser::kind::request : message_parser::kind::response,
+                          header_limit_bytes};
+    parser.start();
+    transcript result;
+    bool goes_on = true;
+    while (goes_on && !bytes.empty())
+    {
+        const auto count = std::min(piece_bytes, bytes.size());
+        parser.append(bytes.substr(0, count));
+        bytes.remove_prefix(count);
+        goes_on = parse(result, parser, is_request);
+    }
+    if (goes_on)
+    {
+        result.error = parser.finish();
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against a message whose meaning depends on how the network cut it, and against steps without progress.
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    if (size < 2)
+    {
+        return 0;
+    }
+    const bool is_request = (data[0] & 1U) == 0;
+    const std::size_t piece_bytes = 1 + data[1] % 64;
+    const auto bytes = fuzz::to_text(data + 2, size - 2);
+    const auto whole = parse_in_pieces(bytes, bytes.size() + 1, is_request);
+    const auto cut = parse_in_pieces(bytes, piece_bytes, is_request);
+    fuzz::require(whole.messages == cut.messages, "the number of messages does not depend on the pieces");
+    fuzz::require(static_cast<bool>(whole.error) == static_cast<bool>(cut.error),
+                  "acceptance does not depend on the pieces");
+    fuzz::require(whole.error || whole.text == cut.text, "heads and bodies do not depend on the pieces");
+    return 0;
+}
