--- a/Makefile
+++ b/Makefile
@@ -68,3 +68,7 @@
 			$(FUZZ_BUILD)/corpus/$$name >$(FUZZ_BUILD)/$$name.log 2>&1 || { tail -n 60 $(FUZZ_BUILD)/$$name.log; exit 1; }; \
 		tail -n 1 $(FUZZ_BUILD)/$$name.log; \
 	done
+
+.PHONY: bench-policy
+bench-policy: build ## Compares routing and admission policies on fakes under a fake clock.
+	$(BUILD)/bin/bench_policy
