--- a/libs/wire/src/datagram.cpp
+++ b/libs/wire/src/datagram.cpp
@@ -9,6 +9,7 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include "poplarport/wire/detail/cbor_value.hpp"
 #include "poplarport/wire/detail/member_codec.hpp"
 #include "poplarport/wire/detail/value_reader.hpp"
 #include "poplarport/wire/errors.hpp"
@@ -201,7 +202,7 @@
         error = errc::not_authentic;
         return std::nullopt;
     }
-    const auto value = nlohmann::json::from_cbor(body, true, false);
+    const auto value = detail::parse_cbor(body);
     detail::value_reader reader{value, error};
     const auto kind = reader.text(kind_key, 1, 1);
     for (const auto& entry : kinds)
--- a/libs/wire/src/member_list.cpp
+++ b/libs/wire/src/member_list.cpp
@@ -2,6 +2,7 @@
 
 #include <limits> // numeric_limits
 
+#include "poplarport/wire/detail/cbor_value.hpp"
 #include "poplarport/wire/detail/member_codec.hpp"
 #include "poplarport/wire/detail/value_reader.hpp"
 #include "poplarport/wire/errors.hpp"
@@ -19,7 +20,7 @@
 std::optional<membership::list_answer> decode_list(std::string_view bytes, std::error_code& error)
 {
     error.clear();
-    const auto value = nlohmann::json::from_cbor(bytes, true, false);
+    const auto value = detail::parse_cbor(bytes);
     detail::value_reader reader{value, error};
     membership::list_answer list;
     list.hash = reader.number("k", std::numeric_limits<std::uint64_t>::max());
