--- a/libs/peer/src/session_callbacks.cpp
+++ b/libs/peer/src/session_callbacks.cpp
@@ -214,6 +214,7 @@
         found->reset_code == std::uint32_t{NGHTTP2_REFUSED_STREAM})
     {
         not_run = proof::refused_stream;
+        ++target.total->refused;
     }
     std::error_code error = errc::protocol_error;
     if (not_run == proof::goaway_below || not_run == proof::not_sent)
--- a/tests/fuzz/header_lines.hpp
+++ b/tests/fuzz/header_lines.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <string_view> // string_view
+#include <variant>     // get, get_if
 
+#include "fuzz_target.hpp"
 #include "poplarport/http/header_fields.hpp"
+#include "poplarport/peer/metadata_error.hpp"
 
 namespace poplarport::fuzz
 {
@@ -25,4 +28,20 @@
     return fields;
 }
 
+// Decodes metadata from lines, and again what was written from the result.
+template <typename Metadata, typename Decoder>
+void check_metadata(std::string_view text, Decoder decode)
+{
+    const auto decoded = decode(parse_lines(text));
+    if (const auto* const error = std::get_if<peer::metadata_error>(&decoded))
+    {
+        require(error->code && !error->field.empty(), "an error names its field");
+        return;
+    }
+    const auto& metadata = std::get<Metadata>(decoded);
+    http::header_fields written;
+    encode(metadata, written);
+    require(std::get<Metadata>(decode(written)) == metadata, "decode(encode(x)) == x");
+}
+
 } // namespace poplarport::fuzz
