--- /dev/null
+++ b/tests/fuzz/fuzz-call_metadata.cpp
@@ -0,0 +1,12 @@
+#include "header_lines.hpp"
+
+#include "poplarport/peer/call_metadata.hpp"
+
+using namespace poplarport;
+
+// Guards against metadata that is accepted and means something else when it is written again.
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    fuzz::check_metadata<peer::call_metadata>(fuzz::to_text(data, size), peer::decode_call_metadata);
+    return 0;
+}
