--- a/libs/membership/include/poplarport/membership/detail/member_table.hpp
+++ b/libs/membership/include/poplarport/membership/detail/member_table.hpp
@@ -60,6 +60,12 @@
     /// @return the live members
     [[nodiscard]] std::vector<member> live() const;
 
+    /// @return the number of live members
+    [[nodiscard]] std::size_t live_count() const noexcept
+    {
+        return this->live_members;
+    }
+
     /// @return when `expire` has something to do next
     [[nodiscard]] std::optional<core::time_point> next_expiry() const;
 
@@ -69,6 +75,7 @@
 
     core::duration ended_retention;
     std::map<core::node_id, member_record> by_id;
+    std::size_t live_members{0};
 };
 
 } // namespace poplarport::membership::detail
--- a/libs/membership/include/poplarport/membership/observer.hpp
+++ b/libs/membership/include/poplarport/membership/observer.hpp
@@ -36,11 +36,22 @@
     bool operator==(const list_pull&) const = default;
 };
 
+/// @brief Orders addresses by host and port.
+struct address_order
+{
+    /// @return whether the first address comes before the second one
+    [[nodiscard]] bool operator()(const core::socket_address& first, const core::socket_address& second) const noexcept
+    {
+        const int hosts = first.host.compare(second.host);
+        return hosts < 0 || (hosts == 0 && first.port < second.port);
+    }
+};
+
 /// @brief Follows the member list of a service of which this node is no member.
 ///
 /// The lists of a few members are pulled at jittered intervals and merged. A member is taken as live if any source
 /// lists it as live, because a source that is cut off from a member must not take that member's work away; an
-/// announced departure counts at once. While no source answers, the last lists stay in use.
+/// announced departure counts at once. While no source answers, the members known last stay in use.
 class observer
 {
   public:
@@ -89,8 +100,8 @@
     core::node_id own_id;
     observer_settings limits;
     std::vector<core::socket_address> seeds;
-    std::map<core::socket_address, source> sources;
-    std::map<core::socket_address, core::time_point> avoided_until;
+    std::map<core::socket_address, source, address_order> sources;
+    std::map<core::socket_address, core::time_point, address_order> avoided_until;
     std::map<core::node_id, member> view;
     core::time_point next_choice;
 };
--- a/libs/membership/src/detector.cpp
+++ b/libs/membership/src/detector.cpp
@@ -133,7 +133,7 @@
     {
         next = std::min(next, *expiry);
     }
-    if (!this->news.empty() && !this->table.live().empty())
+    if (!this->news.empty() && this->table.live_count() > 0)
     {
         next = std::min(next, this->next_gossip);
     }
@@ -289,7 +289,7 @@
     {
         return;
     }
-    if (this->table.live().empty())
+    if (this->table.live_count() == 0)
     {
         this->join(now, random, output);
         return;
@@ -344,14 +344,14 @@
 
 core::duration detector::suspicion_time() const
 {
-    const auto size = static_cast<double>(this->table.live().size() + 1);
+    const auto size = static_cast<double>(this->table.live_count() + 1);
     const auto factor = this->limits.suspicion_multiplier * std::max(1.0, std::log10(size));
     return std::chrono::duration_cast<core::duration>(this->limits.probe_interval * factor);
 }
 
 std::size_t detector::transmissions() const
 {
-    const auto size = static_cast<double>(this->table.live().size() + 1);
+    const auto size = static_cast<double>(this->table.live_count() + 1);
     return this->limits.retransmit_multiplier * static_cast<std::size_t>(std::ceil(std::log2(size + 1)));
 }
 
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -42,6 +42,7 @@
         }
         member_record& record = this->by_id[entry.member.id];
         record.member = entry.member;
+        this->live_members += is_live(record.member) ? 1 : 0;
         note_state(record, suspicion, ended_at, now);
         // A member of which only the end is known is remembered without a report.
         return is_live(entry.member) ? std::optional{member_event{member_change::joined, entry.member}} : std::nullopt;
@@ -52,6 +53,8 @@
     {
         return std::nullopt;
     }
+    this->live_members -= is_live(before) ? 1 : 0;
+    this->live_members += is_live(record.member) ? 1 : 0;
     if (before.state != record.member.state || before.revision != record.member.revision ||
         before.incarnation != record.member.incarnation)
     {
@@ -73,6 +76,7 @@
         if (record.suspicion_end && now >= *record.suspicion_end)
         {
             record.member.state = member_state::dead;
+            --this->live_members;
             record.suspicion_end.reset();
             record.ended_at = now;
             events.push_back({member_change::failed, record.member});
--- a/libs/membership/src/observer.cpp
+++ b/libs/membership/src/observer.cpp
@@ -129,16 +129,10 @@
 void observer::replace_failed_sources(core::time_point now)
 {
     std::erase_if(this->avoided_until, [now](const auto& each) { return now >= each.second; });
-    const auto has_list = [](const auto& each)
-    {
-        return !each.second.entries.empty();
-    };
     for (auto position = this->sources.begin(); position != this->sources.end();)
     {
         const source& each = position->second;
-        // The last list that is held stays in use even when its source fails.
-        const bool last_list = has_list(*position) && std::ranges::count_if(this->sources, has_list) == 1;
-        if (each.failures < this->limits.failures_until_replaced || each.in_flight || last_list)
+        if (each.failures < this->limits.failures_until_replaced || each.in_flight)
         {
             ++position;
             continue;
