--- a/libs/attempts/include/poplarport/attempts/call.hpp
+++ b/libs/attempts/include/poplarport/attempts/call.hpp
@@ -21,10 +21,10 @@
 class call
 {
   public:
-    /// @param[in] request what is known about the request
-    /// @param[in] limits  limits for its attempts
-    /// @param[in] budget  retry budget of the service; must outlive the call
-    call(const call_request& request, const call_limits& limits, retry_budget& budget);
+    /// @param[in] what_is_known what is known about the request
+    /// @param[in] attempt_limits limits for its attempts
+    /// @param[in] service_budget retry budget of the service; must outlive the call
+    call(const call_request& what_is_known, const call_limits& attempt_limits, retry_budget& service_budget);
 
     /// @brief Starts the first attempt. Must be called once, before everything else.
     /// @param[in] now the present time
--- a/libs/attempts/src/call.cpp
+++ b/libs/attempts/src/call.cpp
@@ -6,8 +6,8 @@
 namespace poplarport::attempts
 {
 
-call::call(const call_request& request_, const call_limits& limits_, retry_budget& budget_)
-    : request(request_), limits(limits_), budget(&budget_)
+call::call(const call_request& what_is_known, const call_limits& attempt_limits, retry_budget& service_budget)
+    : request(what_is_known), limits(attempt_limits), budget(&service_budget)
 {
 }
 
--- a/libs/attempts/tests/unit-call_property.cpp
+++ b/libs/attempts/tests/unit-call_property.cpp
@@ -24,8 +24,8 @@
 class watched_call
 {
   public:
-    watched_call(const call_request& request_, retry_budget& budget, core::time_point now)
-        : request(request_), subject(request, limits, budget)
+    watched_call(const call_request& incoming, retry_budget& budget, core::time_point now)
+        : request(incoming), subject(request, limits, budget)
     {
         this->check(this->subject.start(now), now);
     }
@@ -194,6 +194,7 @@
                        retry_budget budget{{ratio, minimum, 100s, 10}};
                        std::vector<std::unique_ptr<watched_call>> calls;
                        auto now = start_time;
+                       calls.reserve(requests.size());
                        for (const std::uint8_t each : requests)
                        {
                            calls.push_back(std::make_unique<watched_call>(request_from(each), budget, now));
--- a/libs/configuration/include/poplarport/configuration/document.hpp
+++ b/libs/configuration/include/poplarport/configuration/document.hpp
@@ -22,7 +22,7 @@
 {
     core::node_id peer;
 
-    auto operator<=>(const document_source&) const = default;
+    bool operator==(const document_source&) const = default;
 };
 
 /// @brief A member of a service, as far as configuration needs to know it.
--- a/libs/configuration/include/poplarport/configuration/follower.hpp
+++ b/libs/configuration/include/poplarport/configuration/follower.hpp
@@ -61,6 +61,16 @@
     std::uint64_t failed_checks{0}; ///< code 703
 };
 
+/// @brief Orders sources by the name of the peer, the platform first.
+struct source_order
+{
+    /// @return whether the first source comes before the second one
+    [[nodiscard]] bool operator()(const document_source& first, const document_source& second) const noexcept
+    {
+        return first.peer.compare(second.peer) < 0;
+    }
+};
+
 /// @brief Holds the newest accepted document of each followed service and decides where to look for newer ones.
 ///
 /// A few members of each service watch the platform; the others pull from a peer that is known to hold a higher
@@ -121,7 +131,7 @@
     [[nodiscard]] core::version version_of(const std::string& service) const;
 
     /// @return the counters by source; sources beyond the limit are counted under `other_sources`
-    [[nodiscard]] const std::map<document_source, source_counters>& counters() const noexcept
+    [[nodiscard]] const std::map<document_source, source_counters, source_order>& counters() const noexcept
     {
         return this->by_source;
     }
@@ -159,7 +169,7 @@
         std::map<core::node_id, core::time_point> avoided_until; ///< peers that served a refused document
     };
 
-    follower(core::node_id self, check_function check, const follower_settings& settings);
+    follower(core::node_id self, check_function accept, const follower_settings& settings);
 
     [[nodiscard]] source_counters& counters_of(const document_source& source);
     void expire_requests(service_state& state, core::time_point now, std::mt19937_64& random);
@@ -184,7 +194,7 @@
     check_function check;
     follower_settings limits;
     std::map<std::string, service_state> services;
-    std::map<document_source, source_counters> by_source;
+    std::map<document_source, source_counters, source_order> by_source;
 };
 
 /// @brief Decides whether a node watches the platform for a service.
--- a/libs/configuration/src/follower.cpp
+++ b/libs/configuration/src/follower.cpp
@@ -38,8 +38,8 @@
     return static_cast<std::size_t>(std::ranges::count_if(members, is_before)) < watchers;
 }
 
-follower::follower(core::node_id self, check_function check_, const follower_settings& settings)
-    : own_id(std::move(self)), check(std::move(check_)), limits(settings)
+follower::follower(core::node_id self, check_function accept, const follower_settings& settings)
+    : own_id(std::move(self)), check(std::move(accept)), limits(settings)
 {
 }
 
