--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -107,7 +107,7 @@
 void receiver::drain()
 {
     this->draining = true;
-    this->act_on(this->gate.drain());
+    this->gate.drain();
     if (this->is_idle() && this->events.on_idle)
     {
         this->events.on_idle();
