Add the target demo

Cause: the demo was a script without a target. Ruled out: nothing. Change: make demo builds and runs demo/run. Conclusion: the two commands of the README exist.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 TIDY_SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp')
 JOBS ?= $(shell nproc)
 
-.PHONY: packages configure build test lint format format-check tidy asan clean
+.PHONY: packages configure build test demo lint format format-check tidy asan clean
 
 packages: ## Installs the packages listed in packages.txt, unless all of them are present.
 	@dpkg -s $$(cat packages.txt) >/dev/null 2>&1 || \
@@ -23,6 +23,9 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+demo: build ## Runs two services with faults under load; ends with the verdict over the ledgers.
+	@demo/run $(BUILD)/bin
+
 format:
 	clang-format -i $(SOURCES)
 
