Let receivers at the peer port redirect, once per call

Cause: peer_listener passed no expected wait at other endpoints, so a receiver refused with a better placed peer only calls of its own entry; and a redirected call could be redirected again, which would cost the sender its retry budget. Ruled out: deciding it from the attempt number: a redirect raises neither the number nor the budget. Change: the header field poplar-redirected; wait_elsewhere for first offers only.

--- a/libs/node/include/poplarport/node/detail/peer_channel.hpp
+++ b/libs/node/include/poplarport/node/detail/peer_channel.hpp
@@ -15,6 +15,9 @@
 /// @brief Header field with the name of the service that a call between nodes is for.
 inline constexpr const char* service_field = "poplar-service";
 
+/// @brief Header field of a call that another receiver already redirected; it is not redirected again.
+inline constexpr const char* redirected_field = "poplar-redirected";
+
 /// @brief An attempt at another node, over a link.
 class peer_channel final : public attempt_channel, public std::enable_shared_from_this<peer_channel>
 {
--- a/libs/node/include/poplarport/node/peer_listener.hpp
+++ b/libs/node/include/poplarport/node/peer_listener.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>  // function
 #include <memory>      // shared_ptr, unique_ptr
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
 
@@ -32,7 +33,8 @@
         std::function<core::version()> config_version; ///< version under which calls are served
         /// Answers a request below `/.poplar/`.
         std::function<peer_document(std::string_view target)> document;
-        std::function<void()> on_drained; ///< no session is left after drain()
+        std::function<std::optional<core::duration>()> wait_elsewhere; ///< expected wait at the best peer
+        std::function<void()> on_drained;                              ///< no session is left after drain()
     };
 
     /// @param[in] loop     loop of the node
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -96,6 +96,10 @@
     {
         return this->configuration->version_of(this->settings.service);
     };
+    peer_hooks.wait_elsewhere = [this]
+    {
+        return this->own_router->wait_elsewhere();
+    };
     peer_hooks.document = [this](std::string_view target)
     {
         return this->answer_peer(target);
--- a/libs/node/src/peer_listener.cpp
+++ b/libs/node/src/peer_listener.cpp
@@ -118,6 +118,10 @@
     received.deadline = call->received_at() + remaining;
     received.depth = metadata->depth;
     received.attempt = metadata->attempt;
+    if (head.fields.find(detail::redirected_field) == nullptr)
+    {
+        received.wait_elsewhere = this->events.wait_elsewhere();
+    }
     if (received.deadline <= this->loop->now())
     {
         this->refuse(*call, admission::errors::deadline_passed);
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -249,7 +249,10 @@
     call.deadline = this->loop->now() + parameters.time_left - answer_margin(parameters.time_left);
     call.depth = parameters.depth;
     call.attempt = parameters.attempt_number;
-    call.wait_elsewhere = this->wait_elsewhere();
+    if (!parameters.preferred)
+    {
+        call.wait_elsewhere = this->wait_elsewhere();
+    }
     return this->local->start(head, std::move(call), std::move(values));
 }
 
@@ -274,6 +277,10 @@
     peer::encode(metadata, sent.fields);
     sent.fields.set(detail::cluster_key_field, this->identity->cluster_key);
     sent.fields.set(detail::service_field, this->service);
+    if (parameters.preferred)
+    {
+        sent.fields.set(detail::redirected_field, "1");
+    }
     auto channel = std::make_shared<detail::peer_channel>(std::move(values));
     channel->start(link, sent);
     return channel;
