--- a/libs/settings/include/poplarport/settings/program.hpp
+++ b/libs/settings/include/poplarport/settings/program.hpp
@@ -22,7 +22,8 @@
 
     /// @brief Parses the command line, reads the settings and runs the body.
     ///
-    /// A wrong command line ends with `usage`, faulty settings with `bad_settings`, an exception with `internal`.
+    /// A wrong command line and std::invalid_argument end with `usage`, faulty settings with `bad_settings`,
+    /// std::system_error (an address that cannot be listened on) with `unavailable`, another exception with `internal`.
     /// @param[in]     argc number of arguments with the name of the program
     /// @param[in]     argv arguments
     /// @param[in,out] out  receives help and version
--- a/libs/settings/src/program.cpp
+++ b/libs/settings/src/program.cpp
@@ -1,8 +1,10 @@
 #include "poplarport/settings/program.hpp"
 
-#include <exception> // exception
-#include <ostream>   // ostream
-#include <utility>   // move
+#include <exception>    // exception
+#include <ostream>      // ostream
+#include <stdexcept>    // invalid_argument
+#include <system_error> // system_error
+#include <utility>      // move
 
 namespace poplarport::settings
 {
@@ -61,6 +63,16 @@
         err << this->name << ": " << error.what() << "; see " << this->name << " --help\n";
         return to_int(exit_status::usage);
     }
+    catch (const std::invalid_argument& error)
+    {
+        err << this->name << ": " << error.what() << "; see " << this->name << " --help\n";
+        return to_int(exit_status::usage);
+    }
+    catch (const std::system_error& error)
+    {
+        err << this->name << ": " << error.what() << "\n";
+        return to_int(exit_status::unavailable);
+    }
     catch (const std::exception& error)
     {
         err << this->name << ": internal error: " << error.what() << "\n";
