--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,7 @@
 .PHONY: bench-policy
 bench-policy: build ## Compares routing and admission policies on fakes under a fake clock.
 	$(BUILD)/bin/bench_policy
+
+.PHONY: prove
+prove: build ## Runs the failure tests: whole systems of processes under faults.
+	ctest --test-dir $(BUILD) -L prove --output-on-failure
--- a/apps/platform-standin/main.cpp
+++ b/apps/platform-standin/main.cpp
@@ -45,10 +45,10 @@
                                         loop.stop();
                                     }};
     const standins::platform_server server{loop, chosen};
-    std::cout << "listening on " << core::to_string(server.address()) << "\n";
+    std::cout << "listening platform " << core::to_string(server.address()) << "\n";
     if (server.control_address().has_value())
     {
-        std::cout << "control on " << core::to_string(*server.control_address()) << "\n";
+        std::cout << "listening control " << core::to_string(*server.control_address()) << "\n";
     }
     std::cout << std::flush;
     loop.run();
