Prove outcomes under killed, frozen and silent peers

Cause: no test showed with real processes that a call that may run once only keeps its promise when nodes or connections fail while they carry it. The new optional setting `listen.peer_sessions` lets a forwarder stand on the advertised address while datagrams still reach the node. A verdict that fails shows the calls with unknown outcomes.

--- a/libs/node/include/poplarport/node/settings.hpp
+++ b/libs/node/include/poplarport/node/settings.hpp
@@ -18,7 +18,8 @@
     std::string availability_zone;
     std::string cluster_secret; ///< shared by all nodes of an operator; never logged
     core::socket_address callers;
-    core::socket_address peers; ///< TCP for sessions and UDP for membership
+    core::socket_address peers;         ///< told to other nodes; UDP for membership
+    core::socket_address peer_sessions; ///< TCP for sessions: `peers`, unless a forwarder listens there
     core::socket_address administration;
     core::socket_address upstream;
     core::socket_address platform;
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -100,7 +100,7 @@
     {
         return this->answer_peer(target);
     };
-    this->peers = std::make_unique<peer_listener>(*this->loop, this->settings.peers, this->identity,
+    this->peers = std::make_unique<peer_listener>(*this->loop, this->settings.peer_sessions, this->identity,
                                                   this->settings.service, std::move(peer_hooks));
     entry::hooks entry_hooks;
     entry_hooks.open = [this](const auto& parameters, const auto& head, const auto& description,
@@ -132,7 +132,10 @@
     {
         this->drain();
     };
-    const membership_parameters parameters{this->settings.service, this->callers->address(), this->peers->address(),
+    // Where a forwarder listens on the peers' address, other nodes have to be told that one and not the listener's.
+    const bool is_forwarded = this->settings.peer_sessions != this->settings.peers;
+    const auto told_peers = is_forwarded ? this->settings.peers : this->peers->address();
+    const membership_parameters parameters{this->settings.service, this->callers->address(), told_peers,
                                            this->settings.cluster_secret};
     this->membership = std::make_unique<membership_task>(*this->loop, this->identity, parameters, this->platform,
                                                          this->random, std::move(membership_hooks));
--- a/libs/node/src/settings.cpp
+++ b/libs/node/src/settings.cpp
@@ -55,6 +55,7 @@
     const auto listen = root.child("listen");
     result.callers = listen.address("callers");
     result.peers = listen.address("peers");
+    result.peer_sessions = listen.address("peer_sessions", result.peers);
     result.administration = listen.address("administration");
     result.upstream = root.child("upstream").address("address");
     result.platform = root.child("platform").address("address");
--- a/tests/prove/connections/prove-node_failure.cpp
+++ b/tests/prove/connections/prove-node_failure.cpp
@@ -9,9 +9,70 @@
 using namespace poplarport;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+// Calls that may run once only, so slow that some run at every moment; one read in four keeps the repeatable path busy.
+const test::words call_kinds{"--non-repeatable", "POST /cuts 3", "--repeatable",    "GET /quotes 1",
+                             "--answer-bytes",   "0:8000",       "--request-bytes", "1:3000"};
+
+test::words load_words(const test::words& further)
+{
+    auto result = call_kinds;
+    result.insert(result.end(), further.begin(), further.end());
+    return result;
+}
+
+/// @brief How a node fails.
+enum class failure
+{
+    kill,
+    freeze
+};
+
+} // namespace
+
 TEST_GROUP(prove_node_failure)
 {
     test::prove_system system;
+
+    void start(const test::words& names)
+    {
+        for (const auto& name : names)
+        {
+            // The entry node's own upstream is slow and nearly always full, so that most calls go to its peers.
+            const auto* const service_ms = name == "n1" ? "200" : "60";
+            system.add(
+                {.name = name, .upstream_arguments = {"--service-ms", service_ms, "--service-time", "exponential"}});
+        }
+        CHECK(system.wait_ready(names, names.size() - 1));
+    }
+
+    // One node fails under load and comes back; the ledgers of all upstreams have to agree with what callers were told.
+    test::prove_verdict fail_under_load(const std::string& failing, failure kind, const test::words& targets,
+                                        const std::string& seed)
+    {
+        this->start({"n1", "n2", "n3"});
+        const auto load = system.load("load", targets,
+                                      load_words({"--rate", "200", "--seconds", "5", "--seed", seed, "--deadline-ms",
+                                                  "1000", "--timeout-ms", "2500"}));
+        test::pause(1s);
+        if (kind == failure::kill)
+        {
+            system.node(failing).kill();
+            CHECK(system.node(failing).wait().has_value());
+            test::pause(1s);
+            system.restart_node(failing);
+        }
+        else
+        {
+            system.node(failing).stop();
+            test::pause(3s); // longer than the deadline, the caller's time limit and the check of silent connections
+            system.node(failing).resume();
+        }
+        CHECK(load->wait() == (test::exit_status{0, 0}));
+        return system.join({"load"});
+    }
 };
 
 // Guards against a fixture that reports faults although nothing failed.
@@ -29,3 +90,60 @@
     CHECK_TEXT(verdict.is_clean(), verdict.text.c_str());
     CHECK_EQUAL_TEXT(verdict.value("sent"), verdict.value("answered"), verdict.text.c_str());
 }
+
+// Guards against calls of a killed receiving node that are lost, sent to a second upstream or called not run.
+TEST(prove_node_failure, killed_receiving_node)
+{
+    const auto verdict = fail_under_load("n3", failure::kill, {"n1"}, "11");
+    CHECK_TEXT(verdict.is_clean(), verdict.text.c_str());
+    CHECK_TEXT(verdict.value("unknown") > 0, verdict.text.c_str());
+    CHECK_TEXT(verdict.value("answered") > 700, verdict.text.c_str());
+}
+
+// Guards against calls of a killed entry node that run twice, or run although their callers were told not run.
+TEST(prove_node_failure, killed_entry_node)
+{
+    const auto verdict = fail_under_load("n1", failure::kill, {"n1", "n2"}, "12");
+    CHECK_TEXT(verdict.is_clean(), verdict.text.c_str());
+    CHECK_TEXT(verdict.value("unknown") > 0, verdict.text.c_str());
+    CHECK_TEXT(verdict.value("answered") > 700, verdict.text.c_str());
+}
+
+// Guards against a frozen receiving node that runs, after it resumes, what was run elsewhere or called not run.
+TEST(prove_node_failure, frozen_receiving_node)
+{
+    const auto verdict = fail_under_load("n3", failure::freeze, {"n1"}, "13");
+    CHECK_TEXT(verdict.is_clean(), verdict.text.c_str());
+    CHECK_TEXT(verdict.value("unknown") > 0, verdict.text.c_str());
+    CHECK_TEXT(verdict.value("answered") > 700, verdict.text.c_str());
+}
+
+// Guards against a frozen entry node that sends, after it resumes, calls whose callers have given up.
+TEST(prove_node_failure, frozen_entry_node)
+{
+    const auto verdict = fail_under_load("n1", failure::freeze, {"n1", "n2"}, "14");
+    CHECK_TEXT(verdict.is_clean(), verdict.text.c_str());
+    CHECK_TEXT(verdict.value("unknown") > 0, verdict.text.c_str());
+    CHECK_TEXT(verdict.value("answered") > 500, verdict.text.c_str());
+}
+
+// Guards against nodes that restart with their predecessors' addresses and receive their calls a second time.
+TEST(prove_node_failure, two_nodes_killed_and_restarted)
+{
+    this->start({"n1", "n2", "n3", "n4"});
+    const auto load = system.load("load", {"n1", "n2"},
+                                  load_words({"--rate", "200", "--seconds", "6", "--seed", "15", "--deadline-ms",
+                                              "1000", "--timeout-ms", "2500"}));
+    for (const auto* name : {"n2", "n3", "n2", "n3"})
+    {
+        test::pause(800ms);
+        system.node(name).kill();
+        test::pause(300ms);
+        system.restart_node(name);
+    }
+    CHECK(load->wait() == (test::exit_status{0, 0}));
+    const auto verdict = system.join({"load"});
+    CHECK_TEXT(verdict.is_clean(), verdict.text.c_str());
+    CHECK_TEXT(verdict.value("unknown") > 0, verdict.text.c_str());
+    CHECK_TEXT(verdict.value("answered") > 700, verdict.text.c_str());
+}
--- a/tests/prove/support/prove_system.cpp
+++ b/tests/prove/support/prove_system.cpp
@@ -219,6 +219,21 @@
     prove_verdict result;
     result.status = run_program(this->scratch, output, "poplar-load", arguments);
     result.text = read_file(this->scratch.file(output + ".out")) + read_file(this->scratch.file(output + ".err"));
+    // A failed check on the count of unknown outcomes shows who told them.
+    constexpr int most_shown = 8;
+    int shown = 0;
+    for (const auto& name : loads)
+    {
+        std::istringstream lines{read_file(this->scratch.file(name + ".ledger"))};
+        for (std::string line; shown < most_shown && std::getline(lines, line);)
+        {
+            if (line.find("\"outcome\":\"unknown\"") != std::string::npos)
+            {
+                result.text += line + "\n";
+                ++shown;
+            }
+        }
+    }
     return result;
 }
 
