Read again on an upstream connection after a paused answer

Cause: when the reader of an answer was slower than the upstream, the node paused the upstream's connection. If the last bytes were already in hand, the answer ended with the connection still paused, and the pool gave it to the next request, whose answer was never read: outcome unknown at the deadline, although the upstream had answered. Ruled out: the stand-in and the load; the upstream's answer was in the kernel's buffer and the first call, over two nodes, was whole. Change: the client connection resumes reading when an answer ends. Conclusion: a reused connection does not depend on the reader of its previous answer.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -197,6 +197,9 @@
         // An answer before the end of the request leaves the connection in the middle of a message.
         this->keep_alive = this->keep_alive && this->request_finished && this->socket->pending_bytes() == 0 &&
                            this->parser.unused_bytes() == 0;
+        // The reader of this answer may have paused the socket; the next request would then never see its answer, and
+        // an idle connection would not notice its end.
+        this->set_reading(true);
         const auto running = std::exchange(this->events, std::make_shared<hooks>());
         if (running->on_end)
         {
--- a/libs/http/tests/unit-server.cpp
+++ b/libs/http/tests/unit-server.cpp
@@ -272,6 +272,33 @@
     CHECK(result.body.empty());
 }
 
+// Guards against a connection whose reading the user of one answer paused at its end: the next request on it would
+// wait for an answer that is never read.
+TEST(http_server, paused_reading_ends_with_its_answer)
+{
+    net::event_loop loop;
+    int requests = 0;
+    const auto server = make_echo_server(loop, requests);
+    const auto connection = http::client_connection::connect(loop, server.address(), connect_timeout);
+    for (int index = 0; index < 2; ++index)
+    {
+        client_result result;
+        auto hooks = collect(result);
+        hooks.on_body = [&](std::string_view bytes)
+        {
+            result.body.append(bytes);
+            connection->set_reading(false);
+        };
+        connection->start(make_head("POST", http::body_framing::fixed, 4), std::move(hooks));
+        connection->send_body("body");
+        connection->finish_request();
+        CHECK(run_until(
+            loop, [&] { return result.ended; }, 2s));
+        CHECK_EQUAL(std::string{"body"}, result.body);
+        CHECK(connection->is_reusable());
+    }
+}
+
 // Guards against work that goes on for a caller that is gone.
 TEST(http_server, disconnected_caller_cancels_its_exchange)
 {
