node: accept static seed addresses in the settings

Cause: a starting node learns its peers only from the seeds object, so a node that starts while the platform is down knows no peer and cannot take the configuration from one, although docs/design.md demands it.

Change: the optional setting platform.seeds lists peer addresses that are contacted besides those of the seeds object.

--- a/libs/node/include/poplarport/node/membership_task.hpp
+++ b/libs/node/include/poplarport/node/membership_task.hpp
@@ -28,6 +28,9 @@
     core::socket_address callers;
     core::socket_address peers; ///< TCP port in use; datagrams use the same number
     std::string cluster_secret; ///< key of the datagrams
+    /// Peer addresses from the settings, contacted besides those of the seeds object, so that a start does not depend
+    /// on the platform.
+    std::vector<core::socket_address> seeds;
 };
 
 /// @brief Traffic of membership since the start.
--- a/libs/node/include/poplarport/node/settings.hpp
+++ b/libs/node/include/poplarport/node/settings.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef> // size_t
 #include <string>  // string
+#include <vector>  // vector
 
 #include "poplarport/core/ids.hpp"
 #include "poplarport/core/socket_address.hpp"
@@ -22,7 +23,8 @@
     core::socket_address administration;
     core::socket_address upstream;
     core::socket_address platform;
-    std::size_t descriptors{4096}; ///< greatest number of open descriptors
+    std::vector<core::socket_address> seeds; ///< peer addresses to contact besides the seeds object
+    std::size_t descriptors{4096};           ///< greatest number of open descriptors
     std::string log_level{"info"};
 };
 
--- a/libs/node/src/membership_task.cpp
+++ b/libs/node/src/membership_task.cpp
@@ -1,7 +1,8 @@
 #include "poplarport/node/membership_task.hpp"
 
-#include <algorithm> // min
+#include <algorithm> // min, ranges::copy
 #include <chrono>    // milliseconds, seconds, system_clock
+#include <iterator>  // back_inserter
 #include <utility>   // move
 
 #include "poplarport/node/detail/overloaded.hpp"
@@ -86,6 +87,7 @@
                    .service(own.service)
                    .self(make_member(identity, own))
                    .settings(detector_settings())
+                   .seeds(own.seeds)
                    .build(owner.now(), engine)),
       duty(own.service, identity.id, {}, owner.now(), engine), wakeup(owner, [this] { this->tick(); }),
       seeds_wakeup(owner, [this] { this->keep_seeds(); }),
@@ -215,7 +217,9 @@
                              const auto document = result.value ? detail::decode_seeds(*result.value) : std::nullopt;
                              if (document)
                              {
-                                 this->detector.set_seeds(membership::addresses_of(*document));
+                                 auto addresses = membership::addresses_of(*document);
+                                 std::ranges::copy(this->own.seeds, std::back_inserter(addresses));
+                                 this->detector.set_seeds(std::move(addresses));
                                  this->schedule();
                              }
                              this->seeds_known = result.answered;
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -133,7 +133,7 @@
         this->drain();
     };
     const membership_parameters parameters{this->settings.service, this->callers->address(), this->peers->address(),
-                                           this->settings.cluster_secret};
+                                           this->settings.cluster_secret, this->settings.seeds};
     this->membership = std::make_unique<membership_task>(*this->loop, this->identity, parameters, this->platform,
                                                          this->random, std::move(membership_hooks));
     control::server::builder builder{*this->loop};
--- a/libs/node/src/settings.cpp
+++ b/libs/node/src/settings.cpp
@@ -57,7 +57,9 @@
     result.peers = listen.address("peers");
     result.administration = listen.address("administration");
     result.upstream = root.child("upstream").address("address");
-    result.platform = root.child("platform").address("address");
+    const auto platform = root.child("platform");
+    result.platform = platform.address("address");
+    result.seeds = platform.addresses("seeds");
     const auto limits = root.child("limits");
     result.descriptors = static_cast<std::size_t>(
         limits.integer("descriptors", {least_descriptors, greatest_descriptors, default_descriptors}));
