configuration: report the version of a read-back change, not of a later one

Cause: when the answer to a write was lost, or an apply was repeated with its change id, the result carried the present version of the object. When another operator had written in the meantime, two changes reported the same version and poplarctl printed the opponent's version for this change.

Ruled out: a doubled write; the object's list of changes held each id once.

Change: the version is the base of the change that follows in the list of recent changes, or the present version when none follows.

--- a/libs/configuration/include/poplarport/configuration/apply_operation.hpp
+++ b/libs/configuration/include/poplarport/configuration/apply_operation.hpp
@@ -67,7 +67,7 @@
 struct apply_finished
 {
     std::error_code code;                  ///< empty if the change is in force
-    core::version version{0};              ///< newest version known
+    core::version version{0};              ///< version that the change produced, or else the newest version known
     std::optional<change_record> opponent; ///< for `conflict`: the change that was made on the same base, if known
 };
 
--- a/libs/configuration/src/apply_operation.cpp
+++ b/libs/configuration/src/apply_operation.cpp
@@ -2,11 +2,31 @@
 
 #include <algorithm> // min, ranges::find
 #include <cassert>   // assert
+#include <iterator>  // next
 #include <utility>   // move
 
 namespace poplarport::configuration
 {
 
+namespace
+{
+
+/// @brief Finds the version that a change produced.
+/// @return the base of the change that follows it, the present version when none does, nothing for an unlisted change
+std::optional<core::version> version_of_change(const std::vector<change_record>& changes, const change_id& id,
+                                               core::version present)
+{
+    const auto found = std::ranges::find(changes, id, &change_record::id);
+    if (found == changes.end())
+    {
+        return std::nullopt;
+    }
+    const auto following = std::next(found);
+    return following == changes.end() ? present : following->base;
+}
+
+} // namespace
+
 apply_operation::apply_operation(change_id id, std::optional<core::version> base_version, edit_function make_content,
                                  core::time_point end, const apply_settings& settings)
     : change(std::move(id)), base(base_version), edit(std::move(make_content)), deadline(end), limits(settings)
@@ -68,10 +88,10 @@
 apply_action apply_operation::first_read(const read_result& result)
 {
     const auto changes = result.document ? result.document->recent_changes : std::vector<change_record>{};
-    if (std::ranges::find(changes, this->change, &change_record::id) != changes.end())
+    if (const auto own = version_of_change(changes, this->change, result.version))
     {
         // An earlier run with this change id took effect and lost its answer.
-        return this->finish({}, result.version);
+        return this->finish({}, *own);
     }
     if (this->base && *this->base != result.version)
     {
@@ -98,9 +118,9 @@
 apply_action apply_operation::read_back(const read_result& result)
 {
     const auto changes = result.document ? result.document->recent_changes : std::vector<change_record>{};
-    if (std::ranges::find(changes, this->change, &change_record::id) != changes.end())
+    if (const auto own = version_of_change(changes, this->change, result.version))
     {
-        return this->finish({}, result.version);
+        return this->finish({}, *own);
     }
     if (result.version == *this->base)
     {
--- a/libs/configuration/tests/unit-apply_operation.cpp
+++ b/libs/configuration/tests/unit-apply_operation.cpp
@@ -38,6 +38,19 @@
     static_cast<void>(subject.start(now));
     const auto end = std::get<apply_finished>(subject.on_read({9, stored_document{"x", {{"mine", 4}, {"b", 5}}}}));
     CHECK(end.code == std::error_code{});
+    LONGS_EQUAL(5, end.version);
+}
+
+// Guards against the version of a later change in the result of a change whose answer was lost.
+TEST(apply_operation, a_change_that_is_read_back_has_its_own_version)
+{
+    auto subject = build(std::nullopt);
+    static_cast<void>(subject.start(now));
+    static_cast<void>(subject.on_read({4, stored_document{"x", {}}}));
+    static_cast<void>(subject.on_write_lost(now, random));
+    const auto end = std::get<apply_finished>(subject.on_read({9, stored_document{"y", {{"mine", 4}, {"theirs", 5}}}}));
+    CHECK(end.code == std::error_code{});
+    LONGS_EQUAL(5, end.version);
 }
 
 // Guards against a list of changes that grows without bound.
