--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -140,7 +140,7 @@
     const bool is_forwarded = this->settings.peer_sessions != this->settings.peers;
     const auto told_peers = is_forwarded ? this->settings.peers : this->peers->address();
     const membership_parameters parameters{this->settings.service, this->callers->address(), told_peers,
-                                           this->settings.cluster_secret};
+                                           this->settings.cluster_secret, this->settings.seeds};
     this->membership = std::make_unique<membership_task>(*this->loop, this->identity, parameters, this->platform,
                                                          this->random, std::move(membership_hooks));
     control::server::builder builder{*this->loop};
