--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,11 @@
 .PHONY: bench-policy
 bench-policy: build ## Compares routing and admission policies on fakes under a fake clock.
 	$(BUILD)/bin/bench_policy
+
+.PHONY: bench-node
+bench-node: build ## Measures the cost of a node on loopback; BENCH_NODE_OPTIONS=--quick for about a minute.
+	$(BUILD)/bin/bench_node $(BENCH_NODE_OPTIONS)
+
+.PHONY: bench-decisions
+bench-decisions: build ## Times the decision code as its sets grow, with complexity fits.
+	$(BUILD)/bin/bench_decisions $(BENCH_DECISIONS_OPTIONS)
--- /dev/null
+++ b/bench/decisions/main.cpp
@@ -0,0 +1,154 @@
+#include <chrono>  // hours, microseconds, milliseconds, minutes, seconds
+#include <cstdint> // int64_t, uint64_t
+#include <random>  // mt19937_64
+#include <string>  // string, to_string
+#include <utility> // move
+#include <vector>  // vector
+
+#include <benchmark/benchmark.h>
+
+#include "poplarport/admission/gate.hpp"
+#include "poplarport/membership/detail/member_table.hpp"
+#include "poplarport/routing/router.hpp"
+#include "poplarport/routing/subset.hpp"
+
+namespace
+{
+
+using namespace poplarport;
+
+constexpr int zones = 24;
+constexpr std::int64_t least_size = 10;
+constexpr std::int64_t greatest_size = 30'000;
+constexpr std::size_t subset_connections = 200;
+
+std::vector<routing::endpoint> make_endpoints(std::int64_t count)
+{
+    std::vector<routing::endpoint> endpoints;
+    for (std::int64_t index = 0; index < count; ++index)
+    {
+        endpoints.push_back(
+            {"node-" + std::to_string(index), "zone-" + std::to_string(index % zones), {"10.0.0.1", 1}, 1, false});
+    }
+    return endpoints;
+}
+
+membership::member_entry make_entry(std::int64_t index, std::uint32_t revision)
+{
+    membership::member_entry entry;
+    entry.member.id = "node-" + std::to_string(index);
+    entry.member.incarnation = 1;
+    entry.member.revision = revision;
+    return entry;
+}
+
+void pick(benchmark::State& state)
+{
+    std::mt19937_64 random{1};
+    core::time_point now{std::chrono::seconds{1}};
+    auto router = routing::router::builder{}.availability_zone("zone-0").build();
+    router.set_endpoints(make_endpoints(state.range(0)), now);
+    const core::load_report report{9, 3, 0, std::chrono::microseconds{5000}, false};
+    for (auto step : state)
+    {
+        (void)step;
+        now += std::chrono::milliseconds{5};
+        const auto choice = router.pick({}, now, random);
+        router.on_sent(choice->target->id, now);
+        router.on_answer(choice->target->id, report, std::chrono::milliseconds{5}, now);
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void admit(benchmark::State& state)
+{
+    core::time_point now{std::chrono::seconds{1}};
+    const auto length = static_cast<std::size_t>(state.range(0));
+    auto gate = admission::gate::builder{}
+                    .slots(1)
+                    .queue_capacity(length + 2)
+                    .initial_service_time(std::chrono::microseconds{1})
+                    .build(now);
+    std::uint64_t next{0};
+    const auto offer = [&]
+    {
+        admission::ticket ticket;
+        ticket.id = std::to_string(next);
+        ticket.tenant = "tenant-" + std::to_string(next % 10);
+        ++next;
+        ticket.traffic_class = "default";
+        ticket.deadline = now + std::chrono::hours{1};
+        return gate.offer(std::move(ticket), now);
+    };
+    (void)offer();
+    core::request_id running{"0"};
+    for (std::size_t index = 0; index < length; ++index)
+    {
+        (void)offer();
+    }
+    for (auto step : state)
+    {
+        (void)step;
+        (void)offer();
+        const auto changes = gate.release(running, std::chrono::microseconds{1}, now);
+        if (!changes.started.empty())
+        {
+            running = changes.started.front();
+        }
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void merge(benchmark::State& state)
+{
+    const core::time_point now{std::chrono::seconds{1}};
+    const auto suspicion = std::chrono::seconds{4};
+    membership::detail::member_table table{std::chrono::minutes{30}};
+    for (std::int64_t index = 0; index < state.range(0); ++index)
+    {
+        (void)table.apply(make_entry(index, 0), suspicion, now);
+    }
+    std::uint32_t revision = 0;
+    std::int64_t index = 0;
+    for (auto step : state)
+    {
+        (void)step;
+        if (index == 0)
+        {
+            ++revision;
+        }
+        benchmark::DoNotOptimize(table.apply(make_entry(index, revision), suspicion, now));
+        index = (index + 1) % state.range(0);
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void subset(benchmark::State& state)
+{
+    const auto endpoints = make_endpoints(state.range(0));
+    for (auto step : state)
+    {
+        (void)step;
+        benchmark::DoNotOptimize(routing::subset("node-1", endpoints, subset_connections));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void sizes(benchmark::internal::Benchmark* bench)
+{
+    for (const std::int64_t size :
+         {least_size, std::int64_t{100}, std::int64_t{1000}, std::int64_t{2000}, std::int64_t{10'000}, greatest_size})
+    {
+        bench->Arg(size);
+    }
+    bench->Complexity();
+}
+
+BENCHMARK(pick)->Apply(sizes);
+BENCHMARK(admit)->Apply(sizes);
+BENCHMARK(merge)->Apply(sizes);
+BENCHMARK(subset)->Apply(sizes);
+
+} // namespace
+
+BENCHMARK_MAIN();
