bench: show the p99 of the least disturbed seconds, and let one part run alone

Cause: on the shared machine the p99 of direct calls to a 1 ms upstream moves between 1.4 and 5 ms from second to second, so the p99 of a whole run shows the neighbours more than the node. Ruled out: dropping the p99 of the whole run; both are printed.

--- a/bench/node/fleet.cpp
+++ b/bench/node/fleet.cpp
@@ -112,7 +112,7 @@
 
 std::string fleet::start_upstream(double service_ms)
 {
-    const auto address = this->next_address();
+    auto address = this->next_address();
     const auto name = "upstream-" + std::to_string(this->upstreams.size());
     this->upstreams.push_back(std::make_unique<test::child_process>(
         this->folder, name, "upstream-standin",
--- a/bench/node/main.cpp
+++ b/bench/node/main.cpp
@@ -43,6 +43,7 @@
 {
     bool quick{false};
     int first_port{14'000};
+    std::string part{"all"};
 };
 
 struct latency
@@ -51,6 +52,7 @@
     double p99{0.0};
     double p999{0.0};
     double answered{0.0};
+    double quiet_p99{0.0}; ///< lower quartile of the seconds' own p99
 };
 
 double seconds_since(std::chrono::steady_clock::time_point start)
@@ -60,19 +62,28 @@
 
 latency parse(const std::string& report)
 {
-    const auto total = nlohmann::json::parse(report).at("total");
+    const auto object = nlohmann::json::parse(report);
+    const auto& total = object.at("total");
     const auto& times = total.at("latency_ms");
+    std::vector<double> by_second;
+    for (const auto& second : object.at("seconds"))
+    {
+        by_second.push_back(second.at("p99_ms").get<double>());
+    }
+    std::sort(by_second.begin(), by_second.end());
+    constexpr std::size_t quarters = 4;
     return {times.at("p50").get<double>(), times.at("p99").get<double>(), times.at("p99.9").get<double>(),
-            total.at("answered").get<double>()};
+            total.at("answered").get<double>(), by_second.at(by_second.size() / quarters)};
 }
 
 void print_latency(const char* name, double rate, const latency& value, const latency& direct, double processor)
 {
     std::printf("  %-9s %6.0f/s p50 %.3f p99 %.3f p99.9 %.3f ms; added %.3f %.3f %.3f ms; ratio %.2f %.2f %.2f;"
+                " p99 of the quietest quarter of seconds %.3f, added %.3f ms;"
                 " processor %.1f us a call; answered %.0f; load average %.1f%s\n",
                 name, rate, value.p50, value.p99, value.p999, value.p50 - direct.p50, value.p99 - direct.p99,
                 value.p999 - direct.p999, value.p50 / direct.p50, value.p99 / direct.p99, value.p999 / direct.p999,
-                processor, value.answered, bench::load_average(),
+                value.quiet_p99, value.quiet_p99 - direct.quiet_p99, processor, value.answered, bench::load_average(),
                 value.p99 - direct.p99 <= target_ms ? "" : "; ABOVE 0.84 ms at p99");
     std::fflush(stdout);
 }
@@ -410,6 +421,7 @@
     cxxopts::Options options{"bench_node", "Measures the cost of a node on loopback."};
     options.add_options()("quick", "shorter runs and smaller groups", cxxopts::value<bool>(run.quick));
     options.add_options()("first-port", "first port to listen on", cxxopts::value<int>(run.first_port));
+    options.add_options()("part", "all, calls, memory or groups", cxxopts::value<std::string>(run.part));
     options.add_options()("help", "print this help");
     try
     {
@@ -428,10 +440,23 @@
     try
     {
         bench::print_machine();
-        measure_calls(run);
-        measure_connections(run);
-        measure_configuration_memory(run);
-        measure_groups(run);
+        const auto wanted = [&](const char* part)
+        {
+            return run.part == "all" || run.part == part;
+        };
+        if (wanted("calls"))
+        {
+            measure_calls(run);
+        }
+        if (wanted("memory"))
+        {
+            measure_connections(run);
+            measure_configuration_memory(run);
+        }
+        if (wanted("groups"))
+        {
+            measure_groups(run);
+        }
         std::printf("load average at the end %.2f\n", bench::load_average());
     }
     catch (const std::exception& fault)
