--- a/Makefile
+++ b/Makefile
@@ -79,3 +79,11 @@
 .PHONY: prove
 prove: build ## Runs the failure tests: whole systems of processes under faults.
 	ctest --test-dir $(BUILD) -L prove --output-on-failure
+
+.PHONY: bench-node
+bench-node: build ## Measures the cost of a node on loopback; BENCH_NODE_OPTIONS=--quick for about a minute.
+	$(BUILD)/bin/bench_node $(BENCH_NODE_OPTIONS)
+
+.PHONY: bench-decisions
+bench-decisions: build ## Times the decision code as its sets grow, with complexity fits.
+	$(BUILD)/bin/bench_decisions $(BENCH_DECISIONS_OPTIONS)
