Refuse what still waits 1.5 s after a drain began

Cause: gate::drain refused new requests only. Queued requests of a draining upstream were dispatched until their deadlines, while docs/design.md forbids new work later than 2 s after the drain began. Ruled out: refusing the queue at once, which would move calls that can still run in time.

--- a/libs/admission/include/poplarport/admission/gate.hpp
+++ b/libs/admission/include/poplarport/admission/gate.hpp
@@ -8,6 +8,7 @@
 #include <string_view>   // string_view
 #include <unordered_map> // unordered_map
 #include <utility>       // move
+#include <vector>        // vector
 
 #include "poplarport/admission/detail/fair_queue.hpp"
 #include "poplarport/admission/errors.hpp"
@@ -74,6 +75,10 @@
     /// @brief Refuses all later requests; queued and running requests continue within their deadlines.
     void drain() noexcept;
 
+    /// @brief Empties the queue; running requests continue.
+    /// @return the requests that waited
+    [[nodiscard]] std::vector<refusal> refuse_queued();
+
     /// @return the load as it travels on answers; `slots` is the limit in force
     [[nodiscard]] core::load_report load(core::time_point now) const;
 
--- a/libs/admission/src/gate.cpp
+++ b/libs/admission/src/gate.cpp
@@ -134,6 +134,16 @@
     this->is_draining = true;
 }
 
+std::vector<refusal> gate::refuse_queued()
+{
+    std::vector<refusal> result;
+    while (const std::optional<ticket> next = this->queue.pop())
+    {
+        result.push_back({next->id, make_error_code(errors::draining)});
+    }
+    return result;
+}
+
 core::load_report gate::load(core::time_point now) const
 {
     core::load_report report;
--- a/libs/admission/tests/unit-gate.cpp
+++ b/libs/admission/tests/unit-gate.cpp
@@ -111,6 +111,19 @@
     }
 }
 
+// Guards against queued requests of a leaving upstream that start although nobody may start any more.
+TEST(gate, refuses_what_is_queued)
+{
+    gate value = make_gate(1, 4);
+    CHECK(value.offer(make_ticket("running", 3s), start).what == action::admit);
+    CHECK(value.offer(make_ticket("waiting", 3s), start).what == action::queue);
+    value.drain();
+    const auto refused = value.refuse_queued();
+    CHECK_EQUAL(1, refused.size());
+    CHECK(refused.front() == (refusal{"waiting", make_error_code(errors::draining)}));
+    CHECK(value.release("running", 1ms, start).started.empty());
+}
+
 // Guards against a greedy tenant that fills the queue and starves the others, whatever the order of arrival.
 TEST(gate, greedy_tenant_cannot_starve_the_others)
 {
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -60,8 +60,8 @@
     struct hooks
     {
         std::function<std::vector<core::node_id>()> better_peers; ///< better placed peers, best first
-        std::function<void()> on_idle;                            ///< the last request ended while draining
-        std::function<void()> on_slot_free;                       ///< a slot became free and nothing waits for it
+        std::function<void()> on_idle;      ///< the last request ended while draining
+        std::function<void()> on_slot_free; ///< a slot became free and nothing waits for it
     };
 
     /// @param[in] loop     loop of the node
@@ -83,7 +83,7 @@
     /// @brief Puts the rules of a new configuration in force.
     void apply(const manifest::service& rules);
 
-    /// @brief Refuses queued and later requests; running ones finish.
+    /// @brief Refuses later requests, and after 1.5 s those that still wait; running ones finish.
     void drain();
 
     /// @return whether no request is queued or running
@@ -117,6 +117,7 @@
     admission::gate gate;
     std::unordered_map<std::string, std::shared_ptr<detail::local_channel>> channels{};
     net::timer expiry_timer;
+    net::timer drain_timer;
     std::uint64_t last_ticket{0};
     bool draining{false};
     counters counted{};
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+// An upstream that is leaving receives no new work later than 2 s after its drain began; what still waits is refused
+// earlier, so that a dispatch that is under way arrives in time.
+constexpr std::chrono::milliseconds queue_drain_time{1500};
+
 // Queued requests are checked at least this often, so that one whose deadline cannot be met is refused early.
 constexpr std::chrono::milliseconds expiry_interval{10};
 
@@ -56,7 +60,15 @@
                    {
                        this->act_on(this->gate.expire(this->loop->now()));
                        this->schedule_expiry();
-                   })
+                   }),
+      drain_timer(owner,
+                  [this]
+                  {
+                      for (const auto& refusal : this->gate.refuse_queued())
+                      {
+                          this->refuse(refusal.id, refusal.reason);
+                      }
+                  })
 {
     this->act_on(this->gate.set_limits(to_limits(rules), owner.now()));
 }
@@ -108,6 +120,7 @@
 {
     this->draining = true;
     this->gate.drain();
+    this->drain_timer.schedule(queue_drain_time);
     if (this->is_idle() && this->events.on_idle)
     {
         this->events.on_idle();
