Redirect refused calls only to clearly better placed peers

Cause: every refusal named the best peer, also where that peer waited as long as the refusing node, so under overload most calls were refused twice. The named peer was not counted as more loaded (router.on_redirected), and idle hints were sent without asking whether they are useful (router.is_hint_useful). A hint was charged with 128 bytes whatever its size. Ruled out: retries as the cause; runs at the upstreams equalled answered plus unknown calls. Change: a refusal by admission names a peer only where the expected wait is below half of the own one, and reports it to the router. Refusals by a draining node or upstream name the best peer as before. Hints are asked for by is_hint_useful and charged with their datagram's bytes and 28 bytes of IP and UDP headers.

--- a/libs/node/include/poplarport/node/membership_task.hpp
+++ b/libs/node/include/poplarport/node/membership_task.hpp
@@ -74,6 +74,9 @@
     /// @brief Announces the version of the configuration that is in force.
     void set_configuration_version(core::version version);
 
+    /// @return bytes on the network of an idle hint, with the headers of IP and UDP
+    [[nodiscard]] std::size_t idle_hint_bytes(std::uint32_t free_slots) const;
+
     /// @brief Sends an idle hint to a member.
     /// @return bytes sent, 0 when it was not sent
     std::size_t send_idle_hint(const core::socket_address& to, std::uint32_t free_slots);
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -59,7 +59,8 @@
     /// @brief Hooks to the rest of the node.
     struct hooks
     {
-        std::function<std::vector<core::node_id>()> better_peers; ///< better placed peers, best first
+        /// Peers with an expected wait below a limit, best first.
+        std::function<std::vector<core::node_id>(core::duration wait_limit)> better_peers;
         std::function<void()> on_idle;      ///< the last request ended while draining
         std::function<void()> on_slot_free; ///< a slot became free and nothing waits for it
     };
@@ -104,6 +105,7 @@
   private:
     friend class detail::local_channel;
 
+    [[nodiscard]] core::duration redirect_limit() const;
     void act_on(const admission::changes& result);
     void refuse(const std::string& ticket, std::error_code reason);
     void end(const std::string& ticket, std::optional<core::duration> service_time);
--- a/libs/node/include/poplarport/node/service_router.hpp
+++ b/libs/node/include/poplarport/node/service_router.hpp
@@ -69,7 +69,11 @@
                                                      attempt_channel::hooks events);
 
     /// @brief Lists peers that are better placed than this node, best first.
-    [[nodiscard]] std::vector<core::node_id> better_peers() const;
+    /// @param[in] wait_limit the expected wait of a better placed peer is shorter
+    [[nodiscard]] std::vector<core::node_id> better_peers(core::duration wait_limit);
+
+    /// @return whether an idle hint of the local endpoint is worth its cost
+    [[nodiscard]] bool is_hint_useful(const core::load_report& own) const;
 
     /// @return the expected wait at the best peer, with the travel
     [[nodiscard]] std::optional<core::duration> wait_elsewhere() const;
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -35,7 +35,8 @@
     this->connection = this->owner->pool->acquire();
     if (!this->connection)
     {
-        this->fail(attempts::refused{attempts::refusal_proof::upstream_untouched, this->owner->events.better_peers()},
+        this->fail(attempts::refused{attempts::refusal_proof::upstream_untouched,
+                                     this->owner->events.better_peers(core::duration::max())},
                    errc::upstream_connection_limit);
         return;
     }
@@ -117,7 +118,8 @@
     if (this->is_shed)
     {
         this->close_connection(true);
-        this->fail(attempts::refused{attempts::refusal_proof::upstream_shed, this->owner->events.better_peers()},
+        this->fail(attempts::refused{attempts::refusal_proof::upstream_shed,
+                                     this->owner->events.better_peers(core::duration::max())},
                    errc::upstream_shed);
         return;
     }
@@ -139,7 +141,8 @@
     this->close_connection(false);
     if (!failure.bytes_sent)
     {
-        this->fail(attempts::refused{attempts::refusal_proof::upstream_untouched, this->owner->events.better_peers()},
+        this->fail(attempts::refused{attempts::refusal_proof::upstream_untouched,
+                                     this->owner->events.better_peers(core::duration::max())},
                    errc::upstream_unreachable);
         return;
     }
@@ -168,7 +171,8 @@
 void local_channel::refuse(std::error_code reason)
 {
     const auto keep = this->shared_from_this();
-    this->fail(attempts::refused{attempts::refusal_proof::admission_refused, this->owner->events.better_peers()},
+    this->fail(attempts::refused{attempts::refusal_proof::admission_refused,
+                                 this->owner->events.better_peers(this->owner->redirect_limit())},
                reason);
 }
 
--- a/libs/node/src/membership_task.cpp
+++ b/libs/node/src/membership_task.cpp
@@ -120,6 +120,13 @@
     this->schedule();
 }
 
+std::size_t membership_task::idle_hint_bytes(std::uint32_t free_slots) const
+{
+    constexpr std::size_t ip_and_udp_header_bytes = 28;
+    return ip_and_udp_header_bytes +
+           wire::encode(wire::idle_hint{this->detector.self().id, free_slots}, this->own.cluster_secret).size();
+}
+
 std::size_t membership_task::send_idle_hint(const core::socket_address& to, std::uint32_t free_slots)
 {
     const auto bytes = wire::encode(wire::idle_hint{this->detector.self().id, free_slots}, this->own.cluster_secret);
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -173,9 +173,9 @@
     if (!this->receiving)
     {
         receiver::hooks hooks;
-        hooks.better_peers = [this]
+        hooks.better_peers = [this](core::duration wait_limit)
         {
-            return this->own_router->better_peers();
+            return this->own_router->better_peers(wait_limit);
         };
         hooks.on_slot_free = [this]
         {
@@ -237,21 +237,26 @@
 void node::state::on_slot_free()
 {
     // An idle hint goes to one member in turn, and only within the measuring budget.
-    constexpr std::uint64_t hint_bytes = 128;
     constexpr std::chrono::microseconds hint_processor_time{20};
     const auto members = this->membership->members();
     if (members.size() <= 1)
     {
         return;
     }
-    const auto& target = members[this->hint_turn++ % members.size()];
     const auto load = this->receiving->load();
-    if (target.id == this->settings.id || load.in_flight * 2 > load.slots ||
-        !this->measuring_budget.try_spend(hint_bytes, hint_processor_time, this->loop->now()))
+    if (!this->own_router->is_hint_useful(load))
+    {
+        return;
+    }
+    const auto& target = members[this->hint_turn++ % members.size()];
+    const auto free_slots = load.slots - load.in_flight;
+    const auto bytes = this->membership->idle_hint_bytes(free_slots);
+    if (target.id == this->settings.id ||
+        !this->measuring_budget.try_spend(bytes, hint_processor_time, this->loop->now()))
     {
         return;
     }
-    this->membership->send_idle_hint(target.peer_address, load.slots - load.in_flight);
+    this->membership->send_idle_hint(target.peer_address, free_slots);
 }
 
 service_router* node::state::router_of(const std::string& service)
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -134,6 +134,18 @@
     return report;
 }
 
+// A refused call is sent to a peer only where it waits less than half as long as here. When all peers are overloaded
+// alike, each refusal would otherwise cost a second one at a peer.
+core::duration receiver::redirect_limit() const
+{
+    if (this->draining)
+    {
+        return core::duration::max();
+    }
+    const auto load = this->load();
+    return core::duration{load.service_time} * load.queued / std::max(load.slots, 1U) / 2;
+}
+
 void receiver::act_on(const admission::changes& result)
 {
     for (const auto& refusal : result.refused)
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -316,11 +316,23 @@
     return tracked;
 }
 
-std::vector<core::node_id> service_router::better_peers() const
+std::vector<core::node_id> service_router::better_peers(core::duration wait_limit)
 {
     const std::vector<core::node_id> self{this->identity->id};
-    const auto best = this->router->best_peer({self}, this->loop->now());
-    return best ? std::vector<core::node_id>{best->target->id} : std::vector<core::node_id>{};
+    const auto now = this->loop->now();
+    const auto best = this->router->best_peer({self}, now);
+    if (!best || best->expected_wait >= wait_limit)
+    {
+        return {};
+    }
+    // Until its next report the peer counts as more loaded, so that a burst of refusals is not sent to one peer.
+    this->router->on_redirected(best->target->id, now);
+    return {best->target->id};
+}
+
+bool service_router::is_hint_useful(const core::load_report& own) const
+{
+    return this->router->is_hint_useful(own, this->loop->now());
 }
 
 std::optional<core::duration> service_router::wait_elsewhere() const
--- a/libs/node/tests/unit-local_path.cpp
+++ b/libs/node/tests/unit-local_path.cpp
@@ -55,8 +55,9 @@
             http::server::builder{}.listen_on(loopback).on_request(std::move(upstream_hook)).build(this->loop));
         this->receiving = std::make_unique<node::receiver>(
             this->loop, this->upstream->address(), this->document->rules,
-            node::receiver::hooks{
-                .better_peers = [] { return std::vector<core::node_id>{}; }, .on_idle = {}, .on_slot_free = {}});
+            node::receiver::hooks{.better_peers = [](core::duration) { return std::vector<core::node_id>{}; },
+                                  .on_idle = {},
+                                  .on_slot_free = {}});
         node::entry::hooks hooks;
         hooks.open = [this](const attempts::start_parameters& parameters, const http::request_head& head,
                             const node::call_description& description,
