--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -59,9 +59,10 @@
     /// @brief Hooks to the rest of the node.
     struct hooks
     {
-        std::function<std::vector<core::node_id>()> better_peers; ///< better placed peers, best first
-        std::function<void()> on_idle;                            ///< the last request ended while draining
-        std::function<void()> on_slot_free;                       ///< a slot became free and nothing waits for it
+        /// Peers with an expected wait below a limit, best first.
+        std::function<std::vector<core::node_id>(core::duration wait_limit)> better_peers;
+        std::function<void()> on_idle;      ///< the last request ended while draining
+        std::function<void()> on_slot_free; ///< a slot became free and nothing waits for it
     };
 
     /// @param[in] loop     loop of the node
@@ -83,7 +84,7 @@
     /// @brief Puts the rules of a new configuration in force.
     void apply(const manifest::service& rules);
 
-    /// @brief Refuses queued and later requests; running ones finish.
+    /// @brief Refuses later requests, and after 1.5 s those that still wait; running ones finish.
     void drain();
 
     /// @return whether no request is queued or running
@@ -104,6 +105,7 @@
   private:
     friend class detail::local_channel;
 
+    [[nodiscard]] core::duration redirect_limit() const;
     void act_on(const admission::changes& result);
     void refuse(const std::string& ticket, std::error_code reason);
     void end(const std::string& ticket, std::optional<core::duration> service_time);
@@ -117,6 +119,7 @@
     admission::gate gate;
     std::unordered_map<std::string, std::shared_ptr<detail::local_channel>> channels{};
     net::timer expiry_timer;
+    net::timer drain_timer;
     std::uint64_t last_ticket{0};
     bool draining{false};
     counters counted{};
