Choose ports of failure tests below the range of outgoing connections

Cause: in one of 11 runs of prove_planned_stop beside others, an upstream could not listen: an outgoing connection or another test had taken the port that free_ports had returned. Change: the fixture takes ports from 12000 to 29999 that can be bound for TCP and UDP, from a start that depends on the process id, so that a restarted process finds its port free too. Ruled out: longer waits; the port was in use for good.

--- a/tests/prove/support/prove_system.cpp
+++ b/tests/prove/support/prove_system.cpp
@@ -5,7 +5,10 @@
 #include <sstream>   // istringstream, ostringstream
 #include <stdexcept> // runtime_error
 
+#include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace poplarport::test
 {
@@ -49,6 +52,37 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+bool can_bind(std::uint16_t port, int type)
+{
+    const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool bound = ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(descriptor);
+    return bound;
+}
+
+// Ports below the range of outgoing connections, or one of those could take the port of a process that restarts.
+std::uint16_t listening_port()
+{
+    constexpr int first = 12000;
+    constexpr int count = 18000;
+    constexpr int step = 97; // keeps test programs that run at once apart
+    static int offset = ::getpid() * step % count;
+    for (int tried = 0; tried < count; ++tried)
+    {
+        offset = (offset + 1) % count;
+        const auto port = static_cast<std::uint16_t>(first + offset);
+        if (can_bind(port, SOCK_STREAM) && can_bind(port, SOCK_DGRAM))
+        {
+            return port;
+        }
+    }
+    throw std::runtime_error("no free port");
+}
+
 std::string body_of(const std::string& answer)
 {
     const auto end = answer.find("\r\n\r\n");
@@ -278,8 +312,8 @@
     {
         return known->second;
     }
-    const auto free = free_ports(5);
-    return this->addresses.emplace(name, ports{free[0], free[1], free[2], free[3], free[4]}).first->second;
+    const ports chosen{listening_port(), listening_port(), listening_port(), listening_port(), listening_port()};
+    return this->addresses.emplace(name, chosen).first->second;
 }
 
 std::string prove_system::output_name(const std::string& name)
