Answer "not run" on idle connections that a planned stop closes

Cause: a stopping node closed callers' idle connections without a word. A request that crossed the close on its way did not run, but its caller could only call it unknown: a planned stop interrupted a request in flight. Ruled out: a check for unread input before the close, which leaves the time that the request needs on the network; more time before the close, which moves the race to a later moment. Change: the node sends 408 with `Connection: close` and its refusal fields (`Poplar-Outcome: not_run`) and reads and drops what still arrives for up to 2 s, as after a malformed request. RFC 9110, section 15.5.9 describes this answer.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -70,9 +70,11 @@
 
 void server_connection::close_if_idle()
 {
-    if (!this->current && !this->parser.has_started() && this->parser.unused_bytes() == 0)
+    if (!this->lingering && !this->current && !this->parser.has_started() && this->parser.unused_bytes() == 0)
     {
-        this->close(net::errc::connection_closed);
+        // The caller may have sent a request that has not arrived yet. It is not run, and with an answer that says so
+        // its caller need not take the end of the connection for an unknown outcome (RFC 9110, section 15.5.9).
+        this->refuse(errc::timed_out);
     }
 }
 
--- a/libs/http/tests/unit-server.cpp
+++ b/libs/http/tests/unit-server.cpp
@@ -272,6 +272,27 @@
     CHECK(result.body.empty());
 }
 
+// Guards against a request that crosses the end of its idle connection and whose caller cannot know that it did not
+// run.
+TEST(http_server, request_that_crosses_the_close_of_an_idle_connection_is_refused)
+{
+    net::event_loop loop;
+    int requests = 0;
+    auto server = make_echo_server(loop, requests);
+    const auto connection = http::client_connection::connect(loop, server.address(), connect_timeout);
+    client_result first;
+    connection->start(make_head("GET", http::body_framing::none, 0), collect(first));
+    CHECK(run_until(loop, [&] { return first.ended; }));
+    client_result crossing;
+    connection->start(make_head("GET", http::body_framing::none, 0), collect(crossing));
+    server.close_idle();
+    CHECK(run_until(loop, [&] { return crossing.ended || crossing.failure; }));
+    LONGS_EQUAL(408, crossing.status);
+    CHECK(crossing.ended);
+    CHECK(!connection->is_reusable());
+    LONGS_EQUAL(1, requests);
+}
+
 // Guards against a connection whose reading the user of one answer paused at its end: the next request on it would
 // wait for an answer that is never read.
 TEST(http_server, paused_reading_ends_with_its_answer)
