Show that the verdict sees doubled calls

Cause: the tests of failing nodes expect doubled=0, and no run showed that a call that runs twice is counted. Change: a trial in which the load tool calls reads non-repeatable, while the manifest lets nodes repeat them, and a receiving node is killed three times. Ruled out: a switch in the product; there is none that lets a non-repeatable call be repeated.

--- a/tests/prove/connections/prove-node_failure.cpp
+++ b/tests/prove/connections/prove-node_failure.cpp
@@ -147,3 +147,24 @@
     CHECK_TEXT(verdict.value("unknown") > 0, verdict.text.c_str());
     CHECK_TEXT(verdict.value("answered") > 700, verdict.text.c_str());
 }
+
+// Trial that shows that the verdict sees calls that run twice: the load tool claims that reads may run once only, while
+// the manifest lets the nodes repeat them.
+TEST(prove_node_failure, repeated_calls_are_seen_as_doubled)
+{
+    this->start({"n1", "n2", "n3"});
+    const auto load = system.load("load", {"n1"},
+                                  {"--non-repeatable", "GET /quotes", "--rate", "200", "--seconds", "3", "--seed", "16",
+                                   "--deadline-ms", "1000", "--timeout-ms", "2500"});
+    for (int kills = 0; kills < 3; ++kills)
+    {
+        test::pause(600ms);
+        system.node("n3").kill();
+        test::pause(100ms);
+        system.restart_node("n3");
+    }
+    CHECK(load->wait() == (test::exit_status{0, 0}));
+    const auto verdict = system.join({"load"});
+    CHECK_TEXT(verdict.value("doubled") > 0, verdict.text.c_str());
+    CHECK(!verdict.is_clean());
+}
