--- a/bench/node/main.cpp
+++ b/bench/node/main.cpp
@@ -2,7 +2,7 @@
 #include <chrono>    // duration, milliseconds, seconds, steady_clock
 #include <cstddef>   // size_t
 #include <cstdint>   // uint16_t
-#include <cstdio>    // fprintf, printf
+#include <cstdio>    // BUFSIZ, fprintf, printf, setvbuf
 #include <cstdlib>   // EXIT_SUCCESS
 #include <exception> // exception
 #include <stdexcept> // runtime_error
@@ -439,6 +439,8 @@
     }
     try
     {
+        // A run that is stopped early keeps its lines.
+        std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
         bench::print_machine();
         const auto wanted = [&](const char* part)
         {
