--- a/tests/prove/overload/small_system.cpp
+++ b/tests/prove/overload/small_system.cpp
@@ -4,6 +4,10 @@
 #include <sstream>   // istringstream, ostringstream
 #include <stdexcept> // runtime_error
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace std::chrono_literals;
 
 namespace poplarport::prove
@@ -39,6 +43,43 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+bool is_free(std::uint16_t port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int enabled = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool bound = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(socket);
+    return bound;
+}
+
+// Ports outside the kernel's range for outgoing connections: a process that is restarted needs its port again, and a
+// connection of another test may not have taken it meanwhile. Each test process has its own block.
+std::vector<std::uint16_t> choose_ports(std::size_t count)
+{
+    constexpr int first_port = 12000;
+    constexpr int block = 100;
+    constexpr int blocks = 180;
+    std::vector<std::uint16_t> result;
+    int port = first_port + ::getpid() % blocks * block;
+    for (; result.size() < count && port < first_port + (blocks + 1) * block; ++port)
+    {
+        if (is_free(static_cast<std::uint16_t>(port)))
+        {
+            result.push_back(static_cast<std::uint16_t>(port));
+        }
+    }
+    if (result.size() < count)
+    {
+        throw std::runtime_error("too few free ports");
+    }
+    return result;
+}
+
 void require(bool condition, const std::string& fault)
 {
     if (!condition)
@@ -49,10 +90,11 @@
 
 } // namespace
 
-small_system::small_system(const system_options& chosen) : options(chosen), platform_ports(test::free_ports(2))
+small_system::small_system(const system_options& chosen) : options(chosen)
 {
     const std::size_t count = chosen.orders + chosen.stock;
-    const auto ports = test::free_ports(count * ports_of_a_member);
+    auto ports = choose_ports(count * ports_of_a_member + 2);
+    this->platform_ports = {ports.end() - 2, ports.end()};
     this->platform =
         std::make_unique<test::child_process>(this->folder, "platform", "platform-standin",
                                               std::vector<std::string>{"--listen", loopback(this->platform_ports[0]),
