Let a lone starting node try the listed seeds before it rewrites them

Each node that knew nobody was the member on duty of its own group of one, took the listed holder for dead and replaced the seeds; late readers met different seeds. Change: with a seeds object present, a lone node rewrites it only after four reads with back-off, about three seconds. bench_node reads the stand-in's new listening line. No test of its own yet beyond prove_membership with 30 nodes.

--- a/bench/node/fleet.cpp
+++ b/bench/node/fleet.cpp
@@ -66,7 +66,7 @@
 {
     this->platform = std::make_unique<test::child_process>(this->folder, "platform", "platform-standin",
                                                            std::vector<std::string>{"--listen", platform_address});
-    (void)this->platform->address("on");
+    (void)this->platform->address("platform");
 }
 
 std::string fleet::next_address()
--- a/libs/node/include/poplarport/node/membership_task.hpp
+++ b/libs/node/include/poplarport/node/membership_task.hpp
@@ -108,6 +108,7 @@
     void act_on(const membership::detector_output& output);
     void send(const core::socket_address& to, const std::string& bytes);
     void read_seeds_at_start();
+    void handle_seeds_at_start(const platform_read& result);
     void keep_seeds();
     void schedule_seeds();
     void handle_seeds(const platform_read& result);
@@ -127,6 +128,7 @@
     net::datagram_socket socket;
     membership_traffic counted{};
     bool seeds_known{false};
+    int lone_reads{0};
     core::duration seeds_back_off;
     std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
 };
--- a/libs/node/src/membership_task.cpp
+++ b/libs/node/src/membership_task.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds first_seeds_back_off{200};
 constexpr std::chrono::seconds longest_seeds_back_off{30};
 
+// With the back-off this is about three seconds, in which a live seed answers several times.
+constexpr int lone_reads_before_rewrite = 4;
+
 core::incarnation incarnation_of_this_start()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -217,32 +220,38 @@
     this->platform->read(seeds_key(this->own.service),
                          [this, still_alive = this->alive](const platform_read& result)
                          {
-                             if (!*still_alive)
-                             {
-                                 return;
-                             }
-                             const auto document = result.value ? detail::decode_seeds(*result.value) : std::nullopt;
-                             if (document)
-                             {
-                                 auto addresses = membership::addresses_of(*document);
-                                 std::ranges::copy(this->own.seeds, std::back_inserter(addresses));
-                                 this->detector.set_seeds(std::move(addresses));
-                                 this->schedule();
-                             }
-                             this->seeds_known = result.answered;
-                             if (result.answered)
+                             if (*still_alive)
                              {
-                                 const auto action =
-                                     this->duty.on_read(document, result.version, this->members(), wall_now());
-                                 if (action)
-                                 {
-                                     this->execute(*action);
-                                 }
+                                 this->handle_seeds_at_start(result);
                              }
-                             this->seeds_wakeup.schedule(this->seeds_back_off);
                          });
 }
 
+void membership_task::handle_seeds_at_start(const platform_read& result)
+{
+    const auto document = result.value ? detail::decode_seeds(*result.value) : std::nullopt;
+    if (document)
+    {
+        auto addresses = membership::addresses_of(*document);
+        std::ranges::copy(this->own.seeds, std::back_inserter(addresses));
+        this->detector.set_seeds(std::move(addresses));
+        this->schedule();
+    }
+    this->seeds_known = result.answered;
+    const bool is_alone = this->members().size() <= 1;
+    // A node that knows no other member first tries the listed seeds for a while: many nodes that start at once would
+    // otherwise replace each other's entries, and could form several groups.
+    const bool waits_for_seeds = document && is_alone && this->lone_reads++ < lone_reads_before_rewrite;
+    if (result.answered && !waits_for_seeds)
+    {
+        if (const auto action = this->duty.on_read(document, result.version, this->members(), wall_now()))
+        {
+            this->execute(*action);
+        }
+    }
+    this->seeds_wakeup.schedule(this->seeds_back_off);
+}
+
 void membership_task::keep_seeds()
 {
     if (!this->seeds_known || this->members().size() <= 1)
