--- a/libs/node/include/poplarport/node/detail/node_state.hpp
+++ b/libs/node/include/poplarport/node/detail/node_state.hpp
@@ -40,6 +40,7 @@
     void add_gauges();
     void add_routes(control::server::builder& builder);
     void on_document(const std::shared_ptr<const manifest::service_document>& document, core::version version);
+    [[nodiscard]] bool knows_called_services() const;
     void on_own_document(const manifest::service_document& document, core::version version);
     void follow_called_services(const manifest::service& rules);
     void on_own_members(const std::vector<membership::member>& members);
@@ -70,6 +71,7 @@
     std::unique_ptr<control::server> administration{};
     net::timer drain_timer;
     core::duration drain_time;
+    core::time_point configured_at{};
     core::time_point drain_started{};
     std::size_t hint_turn{0};
     bool draining{false};
--- a/libs/node/include/poplarport/node/entry.hpp
+++ b/libs/node/include/poplarport/node/entry.hpp
@@ -6,6 +6,7 @@
 #include <optional>      // optional
 #include <random>        // mt19937_64
 #include <string>        // string
+#include <string_view>   // string_view
 #include <system_error>  // error_code
 #include <unordered_map> // unordered_map
 
@@ -33,6 +34,8 @@
         std::function<std::optional<opened_attempt>(const attempts::start_parameters&, const http::request_head&,
                                                     const call_description&, attempt_channel::hooks)>
             open;
+        /// Tells whether a service is called by this node's upstream, so that its configuration is on its way.
+        std::function<bool(std::string_view)> is_awaited;
         /// Called for each call that ended, with its tenant and class.
         std::function<void(const call_description&, const call_result&)> on_finished;
         /// Called for each request that was refused before it became a call.
--- a/libs/node/src/entry.cpp
+++ b/libs/node/src/entry.cpp
@@ -24,6 +24,7 @@
 constexpr int not_found = 404;
 constexpr int content_too_large = 413;
 constexpr int too_many_requests = 429;
+constexpr int service_unavailable = 503;
 
 constexpr std::chrono::seconds housekeeping_interval{30};
 
@@ -142,6 +143,12 @@
     auto document = this->directory->find(find_field(head, "Poplar-Service"), host);
     if (!document)
     {
+        const auto service = find_field(head, "Poplar-Service").value_or(host);
+        if (this->events.is_awaited && this->events.is_awaited(service))
+        {
+            this->refuse(exchange, service_unavailable, errc::no_configuration);
+            return std::nullopt;
+        }
         this->refuse(exchange, not_found, manifest::errc::service_not_found);
         return std::nullopt;
     }
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/node/node.hpp"
 
-#include <algorithm>   // max, min
+#include <algorithm>   // max, min, ranges::all_of
 #include <array>       // array
 #include <charconv>    // from_chars
 #include <chrono>      // milliseconds, seconds
@@ -29,6 +29,9 @@
 constexpr std::chrono::milliseconds farewell_time{50};
 
 constexpr std::chrono::milliseconds drain_check_interval{20};
+
+// A node counts as ready without the services that it calls after this time, because these may have no members.
+constexpr std::chrono::seconds called_services_grace{2};
 constexpr std::chrono::seconds default_drain_time{30};
 
 // The key that is shown to peers is derived from the secret, so that the secret itself never travels.
@@ -113,6 +116,10 @@
         auto* const router = this->router_of(description.service);
         return router == nullptr ? std::nullopt : router->open(parameters, head, description, std::move(events));
     };
+    entry_hooks.is_awaited = [this](std::string_view service)
+    {
+        return this->called.contains(std::string{service});
+    };
     entry_hooks.on_finished = [this](const call_description& description, const call_result& result)
     {
         this->metrics.count_call(description.tenant, description.traffic_class, result.outcome, result.latency);
@@ -166,6 +173,16 @@
     }
 }
 
+bool node::state::knows_called_services() const
+{
+    const auto is_known = [this](const auto& entry)
+    {
+        return this->configuration->version_of(entry.first) != 0 && entry.second.router->endpoint_count() != 0;
+    };
+    return std::ranges::all_of(this->called, is_known) ||
+           this->loop->now() - this->configured_at > called_services_grace;
+}
+
 void node::state::on_own_document(const manifest::service_document& document, core::version version)
 {
     const auto& rules = document.rules;
@@ -188,6 +205,7 @@
         {
             this->on_slot_free();
         };
+        this->configured_at = this->loop->now();
         this->receiving = std::make_unique<receiver>(*this->loop, this->settings.upstream, rules, std::move(hooks));
         this->own_router->set_local(this->receiving.get());
         this->peers->set_receiver(this->receiving.get());
--- a/libs/node/src/node_administration.cpp
+++ b/libs/node/src/node_administration.cpp
@@ -66,7 +66,7 @@
 
 bool node::state::is_ready() const
 {
-    return !this->draining && this->receiving != nullptr;
+    return !this->draining && this->receiving != nullptr && this->knows_called_services();
 }
 
 std::string node::state::status_text() const
--- a/libs/node/src/observer_task.cpp
+++ b/libs/node/src/observer_task.cpp
@@ -20,14 +20,23 @@
 // While members are known, the seeds are read again this rarely, for the case that all known members were replaced.
 constexpr std::chrono::minutes seeds_interval{5};
 
+membership::observer_settings observer_settings()
+{
+    membership::observer_settings settings;
+    // A starting node opens for callers when it knows the services it calls, so the first pull must not wait long.
+    settings.start_jitter = std::chrono::milliseconds{200};
+    return settings;
+}
+
 } // namespace
 
 observer_task::observer_task(net::event_loop& owner, const node_identity& self, std::string name,
                              service_router& target, platform_client& client, std::mt19937_64& engine,
                              members_hook hook)
     : loop(&owner), identity(&self), service(std::move(name)), router(&target), platform(&client), random(&engine),
-      on_members(std::move(hook)), observer(self.id, {}, owner.now(), engine), wakeup(owner, [this] { this->tick(); }),
-      seeds_wakeup(owner, [this] { this->read_seeds(); }), seeds_back_off(first_back_off)
+      on_members(std::move(hook)), observer(self.id, observer_settings(), owner.now(), engine),
+      wakeup(owner, [this] { this->tick(); }), seeds_wakeup(owner, [this] { this->read_seeds(); }),
+      seeds_back_off(first_back_off)
 {
     this->read_seeds();
 }
