--- a/Makefile
+++ b/Makefile
@@ -27,10 +27,10 @@
 	@demo/run $(BUILD)/bin
 
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 
 tidy: configure
 	@echo $(TIDY_SOURCES) | xargs -n 2 -P $(JOBS) clang-tidy -p $(BUILD) --quiet 2>/dev/null || (echo "clang-tidy found faults" >&2; exit 1)
--- a/libs/settings/src/option_values.cpp
+++ b/libs/settings/src/option_values.cpp
@@ -12,7 +12,7 @@
         return std::nullopt;
     }
     const auto& text = parsed[name].as<std::string>();
-    const auto address = core::parse_socket_address(text);
+    auto address = core::parse_socket_address(text);
     if (!address)
     {
         throw std::invalid_argument("--" + name + ": not an IP number with a port: " + text);
