Spread the reads of the seeds by random waits

Cause: docs/CAPACITY.md counts 5,000 reads without jitter when a zone of 1,250 nodes starts at once; refused reads came again in step. Ruled out: a random wait before the first read: it would slow every single replacement. Measured: unit_membership 26 tests pass; the spread itself is computed, not measured. Conclusion: the first read of a start is still immediate.

--- a/libs/membership/include/poplarport/membership/detail/jitter.hpp
+++ b/libs/membership/include/poplarport/membership/jitter.hpp
@@ -5,7 +5,7 @@
 
 #include "poplarport/core/time.hpp"
 
-namespace poplarport::membership::detail
+namespace poplarport::membership
 {
 
 /// @return a random duration from zero to the bound
@@ -26,4 +26,4 @@
     return std::uniform_int_distribution<std::size_t>{0, count - 1}(random);
 }
 
-} // namespace poplarport::membership::detail
+} // namespace poplarport::membership
--- a/libs/membership/src/detector.cpp
+++ b/libs/membership/src/detector.cpp
@@ -6,7 +6,7 @@
 #include <iterator>  // back_inserter
 #include <utility>   // move
 
-#include "poplarport/membership/detail/jitter.hpp"
+#include "poplarport/membership/jitter.hpp"
 
 namespace poplarport::membership
 {
@@ -23,8 +23,8 @@
                    std::vector<core::socket_address> seed_addresses, core::time_point now, std::mt19937_64& random)
     : service(std::move(service_name)), own(std::move(self)), limits(settings), seeds(std::move(seed_addresses)),
       table(settings.ended_retention), last_sequence(random()),
-      next_probe(now + detail::up_to(settings.start_jitter + settings.probe_interval, random)), next_gossip(now),
-      next_sync(now + detail::up_to(settings.start_jitter, random)), join_backoff(settings.probe_interval)
+      next_probe(now + up_to(settings.start_jitter + settings.probe_interval, random)), next_gossip(now),
+      next_sync(now + up_to(settings.start_jitter, random)), join_backoff(settings.probe_interval)
 {
     this->news.add(this->own.id);
     this->expect_wakeup(now);
@@ -156,7 +156,7 @@
     ++this->counts.freezes;
     this->probe.reset();
     this->table.postpone_suspicions(delay);
-    this->next_probe = now + detail::up_to(this->limits.probe_interval, random);
+    this->next_probe = now + up_to(this->limits.probe_interval, random);
 }
 
 void detector::expect_wakeup(core::time_point now)
@@ -295,7 +295,7 @@
         return;
     }
     this->join_backoff = this->limits.probe_interval;
-    this->next_sync = now + detail::around(this->limits.sync_interval, random);
+    this->next_sync = now + around(this->limits.sync_interval, random);
     std::vector<core::socket_address> partners;
     for (const auto& [id, record] : this->table.records())
     {
@@ -305,7 +305,7 @@
         }
     }
     std::ranges::copy(this->seeds, std::back_inserter(partners));
-    const auto& partner = partners[detail::index_below(partners.size(), random)];
+    const auto& partner = partners[index_below(partners.size(), random)];
     if (partner != this->own.peer_address)
     {
         output.messages.push_back({partner, sync_request{this->header(), this->own_hash()}});
@@ -314,7 +314,7 @@
 
 void detector::join(core::time_point now, std::mt19937_64& random, detector_output& output)
 {
-    this->next_sync = now + detail::around(this->join_backoff, random);
+    this->next_sync = now + around(this->join_backoff, random);
     this->join_backoff = std::min(this->join_backoff * 2, this->limits.join_backoff_limit);
     std::vector<core::socket_address> contacts = this->seeds;
     for (const auto& [id, record] : this->table.records())
--- a/libs/membership/src/detector_messages.cpp
+++ b/libs/membership/src/detector_messages.cpp
@@ -3,8 +3,8 @@
 #include <iterator>  // back_inserter
 #include <utility>   // move
 
-#include "poplarport/membership/detail/jitter.hpp"
 #include "poplarport/membership/detector.hpp"
+#include "poplarport/membership/jitter.hpp"
 
 namespace poplarport::membership
 {
@@ -146,7 +146,7 @@
     this->news.add(entry.member.id);
     if (event->change == member_change::joined)
     {
-        const auto place = detail::index_below(this->probe_order.size() + 1, random);
+        const auto place = index_below(this->probe_order.size() + 1, random);
         this->probe_order.insert(this->probe_order.begin() + static_cast<std::ptrdiff_t>(place), entry.member.id);
     }
     output.events.push_back(std::move(*event));
--- a/libs/membership/src/observer.cpp
+++ b/libs/membership/src/observer.cpp
@@ -4,7 +4,7 @@
 #include <tuple>     // pair
 #include <utility>   // move
 
-#include "poplarport/membership/detail/jitter.hpp"
+#include "poplarport/membership/jitter.hpp"
 #include "poplarport/membership/rendezvous.hpp"
 
 namespace poplarport::membership
@@ -21,7 +21,7 @@
 } // namespace
 
 observer::observer(core::node_id self, const observer_settings& settings, core::time_point now, std::mt19937_64& random)
-    : own_id(std::move(self)), limits(settings), next_choice(now + detail::up_to(settings.start_jitter, random))
+    : own_id(std::move(self)), limits(settings), next_choice(now + up_to(settings.start_jitter, random))
 {
 }
 
@@ -35,7 +35,7 @@
     if (now >= this->next_choice)
     {
         this->choose_sources(now, random);
-        this->next_choice = now + detail::around(this->limits.back_off, random);
+        this->next_choice = now + around(this->limits.back_off, random);
     }
     std::vector<list_pull> pulls;
     for (auto& [address, each] : this->sources)
@@ -60,7 +60,7 @@
     source& each = found->second;
     each.in_flight = false;
     each.failures = 0;
-    each.next_pull = now + detail::around(this->limits.interval, random);
+    each.next_pull = now + around(this->limits.interval, random);
     if (answer.unchanged)
     {
         return {};
@@ -82,7 +82,7 @@
     constexpr std::size_t highest_shift = 16;
     const auto shift = std::min(each.failures, highest_shift);
     const auto wait = std::min(this->limits.back_off * (std::int64_t{1} << shift), this->limits.back_off_limit);
-    each.next_pull = now + detail::around(wait, random);
+    each.next_pull = now + around(wait, random);
     ++each.failures;
 }
 
@@ -121,7 +121,7 @@
         const auto avoided = this->avoided_until.find(address);
         if (avoided == this->avoided_until.end() && !this->sources.contains(address))
         {
-            this->sources[address].next_pull = now + detail::up_to(this->limits.back_off, random);
+            this->sources[address].next_pull = now + up_to(this->limits.back_off, random);
         }
     }
 }
--- a/libs/membership/src/seed_duty.cpp
+++ b/libs/membership/src/seed_duty.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // max, min, ranges::any_of, ranges::count_if, ranges::find
 #include <utility>   // move
 
-#include "poplarport/membership/detail/jitter.hpp"
+#include "poplarport/membership/jitter.hpp"
 #include "poplarport/membership/rendezvous.hpp"
 
 namespace poplarport::membership
@@ -30,7 +30,7 @@
 seed_duty::seed_duty(std::string service, core::node_id self, const seed_duty_settings& settings, core::time_point now,
                      std::mt19937_64& random)
     : key("seeds/" + std::move(service)), own_id(std::move(self)), limits(settings), wait(settings.interval),
-      next_read(now + detail::up_to(settings.interval, random))
+      next_read(now + up_to(settings.interval, random))
 {
 }
 
@@ -47,7 +47,7 @@
     {
         return std::nullopt;
     }
-    this->next_read = now + detail::around(this->wait, random);
+    this->next_read = now + around(this->wait, random);
     this->earliest_read = now + this->limits.early_wait;
     return this->on_duty(members) ? std::optional<seed_action>{read_seeds{}} : std::nullopt;
 }
@@ -102,14 +102,14 @@
     {
         return;
     }
-    const auto due = std::max(now + detail::around(this->limits.early_wait, random), this->earliest_read);
+    const auto due = std::max(now + around(this->limits.early_wait, random), this->earliest_read);
     this->next_read = std::min(this->next_read, due);
 }
 
 void seed_duty::on_failed(core::time_point now, std::mt19937_64& random)
 {
     this->wait = std::min(this->wait * 2, this->limits.back_off_limit);
-    this->next_read = now + detail::around(this->wait, random);
+    this->next_read = now + around(this->wait, random);
     this->earliest_read = this->next_read;
 }
 
--- a/libs/node/src/membership_task.cpp
+++ b/libs/node/src/membership_task.cpp
@@ -5,6 +5,7 @@
 #include <iterator>  // back_inserter
 #include <utility>   // move
 
+#include "poplarport/membership/jitter.hpp"
 #include "poplarport/node/detail/overloaded.hpp"
 #include "poplarport/node/detail/seeds_codec.hpp"
 #include "poplarport/observability/log_record.hpp"
@@ -249,7 +250,8 @@
             this->execute(*action);
         }
     }
-    this->seeds_wakeup.schedule(this->seeds_back_off);
+    // Random waits keep the nodes of a zone that start together from asking the platform in step.
+    this->seeds_wakeup.schedule(membership::around(this->seeds_back_off, *this->random));
 }
 
 void membership_task::keep_seeds()
--- a/libs/node/src/observer_task.cpp
+++ b/libs/node/src/observer_task.cpp
@@ -4,6 +4,7 @@
 #include <chrono>    // milliseconds, seconds
 #include <utility>   // move
 
+#include "poplarport/membership/jitter.hpp"
 #include "poplarport/node/detail/document_pull.hpp"
 #include "poplarport/node/detail/seeds_codec.hpp"
 #include "poplarport/wire/member_list.hpp"
@@ -68,7 +69,8 @@
                              }
                          });
     this->seeds_back_off = std::min<core::duration>(this->seeds_back_off * 2, longest_back_off);
-    this->seeds_wakeup.schedule(this->members().empty() ? this->seeds_back_off : core::duration{seeds_interval});
+    const auto wait = this->members().empty() ? this->seeds_back_off : core::duration{seeds_interval};
+    this->seeds_wakeup.schedule(membership::around(wait, *this->random));
 }
 
 void observer_task::tick()
