Read the addresses of platform-standin by the shared option handling

Ruled out: nothing. Change: apps/platform-standin/main.cpp. Conclusion: one way left in the stand-ins.

--- a/apps/platform-standin/main.cpp
+++ b/apps/platform-standin/main.cpp
@@ -3,6 +3,7 @@
 
 #include "poplarport/net/event_loop.hpp"
 #include "poplarport/net/signal_watch.hpp"
+#include "poplarport/settings/option_values.hpp"
 #include "poplarport/settings/program.hpp"
 #include "poplarport/standins/platform/platform_server.hpp"
 
@@ -24,17 +25,8 @@
 settings::exit_status serve(const cxxopts::ParseResult& parsed)
 {
     standins::platform_settings chosen;
-    const auto listen = core::parse_socket_address(parsed["listen"].as<std::string>());
-    if (parsed.count("control") > 0)
-    {
-        chosen.control = core::parse_socket_address(parsed["control"].as<std::string>());
-    }
-    if (!listen.has_value() || chosen.control.has_value() != (parsed.count("control") > 0))
-    {
-        std::cerr << "platform-standin: an address is an IP number and a port, HOST:PORT\n";
-        return settings::exit_status::usage;
-    }
-    chosen.listen = *listen;
+    chosen.listen = settings::required_address(parsed, "listen");
+    chosen.control = settings::optional_address(parsed, "control");
     chosen.reads_per_second = parsed["reads-per-second"].as<std::uint32_t>();
     chosen.writes_per_second = parsed["writes-per-second"].as<std::uint32_t>();
     net::event_loop loop;
