Remove the hooks for an idle entry and an idle receiver, which nothing set

The planned stop polls calls in progress and open connections; the hooks on_idle of entry and receiver were written before that and had no user. Ruled out: replacing the polling by the hooks now; it also watches connections and peer streams, which the hooks do not tell.

--- a/libs/node/include/poplarport/node/entry.hpp
+++ b/libs/node/include/poplarport/node/entry.hpp
@@ -40,7 +40,6 @@
         std::function<void(const call_description&, const call_result&)> on_finished;
         /// Called for each request that was refused before it became a call.
         std::function<void(std::error_code)> on_refused;
-        std::function<void()> on_idle; ///< the last call ended while draining
     };
 
     /// @param[in] loop      loop of the node
@@ -113,7 +112,6 @@
     std::unordered_map<core::request_id, std::shared_ptr<call_driver>> calls{};
     net::timer housekeeping;
     std::uint64_t last_request{0};
-    bool draining{false};
     std::unique_ptr<http::server> server;
 };
 
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -61,7 +61,6 @@
     {
         /// Peers with an expected wait below a limit, best first.
         std::function<std::vector<core::node_id>(core::duration wait_limit)> better_peers;
-        std::function<void()> on_idle;      ///< the last request ended while draining
         std::function<void()> on_slot_free; ///< a slot became free and nothing waits for it
     };
 
--- a/libs/node/src/entry.cpp
+++ b/libs/node/src/entry.cpp
@@ -92,12 +92,7 @@
 
 void entry::drain()
 {
-    this->draining = true;
     this->server->drain();
-    if (this->calls.empty() && this->events.on_idle)
-    {
-        this->events.on_idle();
-    }
 }
 
 void entry::close_idle()
@@ -239,10 +234,6 @@
     this->limiter.release(description.tenant);
     this->events.on_finished(description, result);
     this->calls.erase(id);
-    if (this->draining && this->calls.empty() && this->events.on_idle)
-    {
-        this->events.on_idle();
-    }
 }
 
 void entry::refuse(http::server_exchange& exchange, int status, std::error_code reason,
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -121,10 +121,6 @@
     this->draining = true;
     this->gate.drain();
     this->drain_timer.schedule(queue_drain_time);
-    if (this->is_idle() && this->events.on_idle)
-    {
-        this->events.on_idle();
-    }
 }
 
 core::load_report receiver::load() const
@@ -174,10 +170,6 @@
     const auto channel = position->second;
     this->channels.erase(position);
     channel->refuse(reason);
-    if (this->draining && this->is_idle() && this->events.on_idle)
-    {
-        this->events.on_idle();
-    }
 }
 
 void receiver::end(const std::string& ticket, std::optional<core::duration> service_time)
@@ -190,11 +182,7 @@
     const auto result = service_time ? this->gate.release(ticket, *service_time, now) : this->gate.cancel(ticket, now);
     const bool has_spare_slot = result.started.empty();
     this->act_on(result);
-    if (this->draining && this->is_idle() && this->events.on_idle)
-    {
-        this->events.on_idle();
-    }
-    else if (has_spare_slot && !this->draining && this->events.on_slot_free)
+    if (has_spare_slot && !this->draining && this->events.on_slot_free)
     {
         this->events.on_slot_free();
     }
--- a/libs/node/tests/unit-local_path.cpp
+++ b/libs/node/tests/unit-local_path.cpp
@@ -56,7 +56,6 @@
         this->receiving = std::make_unique<node::receiver>(
             this->loop, this->upstream->address(), this->document->rules,
             node::receiver::hooks{.better_peers = [](core::duration) { return std::vector<core::node_id>{}; },
-                                  .on_idle = {},
                                   .on_slot_free = {}});
         node::entry::hooks hooks;
         hooks.open = [this](const attempts::start_parameters& parameters, const http::request_head& head,
