--- a/cmake/PoplarportTargets.cmake
+++ b/cmake/PoplarportTargets.cmake
@@ -2,6 +2,9 @@
 
 # Adds a test program from the given sources and registers it with ctest.
 function(poplarport_test name)
+    if(NOT BUILD_TESTING)
+        return()
+    endif()
     cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "SOURCES;LIBRARIES;ARGUMENTS;LABELS" ${ARGN})
     add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/tests/support/main.cpp)
     target_link_libraries(${name} PRIVATE poplarport_flags ${ARG_LIBRARIES} PkgConfig::CPPUTEST)
--- a/libs/attempts/include/poplarport/attempts/call.hpp
+++ b/libs/attempts/include/poplarport/attempts/call.hpp
@@ -97,6 +97,7 @@
     std::optional<core::time_point> hedge_due;
     std::optional<attempt_id> winner;
     std::uint32_t extra_attempts{0};
+    std::uint32_t free_retries_used{0};
     bool redirected{false};
     bool body_held{true};
     bool over{false};
--- a/libs/attempts/include/poplarport/attempts/call_settings.hpp
+++ b/libs/attempts/include/poplarport/attempts/call_settings.hpp
@@ -29,6 +29,9 @@
     std::uint32_t depth{3};
     /// Shortest remaining time with which another attempt starts.
     core::duration minimum_time_left{std::chrono::microseconds{500}};
+    /// Further attempts after a proof that no upstream received the request. They are sent at once, draw on no budget
+    /// and do not count as attempts, because no upstream sees them.
+    std::uint32_t free_retries{0};
     /// Upper bound of the random wait before the second retry; doubles with each further one.
     core::duration backoff{std::chrono::milliseconds{1}};
 };
--- a/libs/attempts/src/call.cpp
+++ b/libs/attempts/src/call.cpp
@@ -6,6 +6,18 @@
 namespace poplarport::attempts
 {
 
+namespace
+{
+
+bool spared_upstream(const attempt_event& event, const attempt_result& result)
+{
+    const auto* const refusal = std::get_if<refused>(&event);
+    return result.outcome == core::outcome::not_run &&
+           (refusal == nullptr || refusal->proof != refusal_proof::upstream_shed);
+}
+
+} // namespace
+
 call::call(const call_request& what_is_known, const call_limits& attempt_limits, retry_budget& service_budget)
     : request(what_is_known), limits(attempt_limits), budget(&service_budget)
 {
@@ -267,6 +279,12 @@
         actions.emplace_back(start_attempt{this->open_attempt(now, better)});
         return;
     }
+    if (this->free_retries_used < this->limits.free_retries && spared_upstream(event, result))
+    {
+        ++this->free_retries_used;
+        actions.emplace_back(start_attempt{this->open_attempt(now, better)});
+        return;
+    }
     auto reason = this->reason_against_retry(now);
     if (!reason && !this->budget->try_spend(now))
     {
--- a/libs/core/include/poplarport/core/load_report.hpp
+++ b/libs/core/include/poplarport/core/load_report.hpp
@@ -14,6 +14,7 @@
     std::uint32_t queued{0};                   ///< requests admitted and waiting for a slot
     std::chrono::microseconds service_time{0}; ///< moving average of the upstream's service time
     bool draining{false};                      ///< the endpoint takes no new work
+    std::uint32_t slowdown_percent{100};       ///< present duration of work on the VM, 100 for its usual speed
 
     bool operator==(const load_report&) const = default;
 };
--- a/libs/http/include/poplarport/http/server.hpp
+++ b/libs/http/include/poplarport/http/server.hpp
@@ -103,6 +103,9 @@
     /// @return the number of open connections
     [[nodiscard]] std::size_t connection_count() const noexcept;
 
+    /// @brief Replaces the limits; each connection takes them for its next request.
+    void set_limits(const limits& values);
+
     /// @brief Prepares a stop: every further answer closes its connection.
     ///
     /// Idle connections stay open, because a request may already be on its way on them; see close_idle().
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -44,6 +44,11 @@
     return this->data->connections.size();
 }
 
+void server::set_limits(const limits& values)
+{
+    this->data->chosen = values;
+}
+
 void server::drain()
 {
     this->data->draining = true;
--- a/libs/membership/include/poplarport/membership/detector.hpp
+++ b/libs/membership/include/poplarport/membership/detector.hpp
@@ -89,6 +89,13 @@
     /// @brief Announces the newest configuration version that this member holds; a lower one is ignored.
     void set_configuration_version(core::version version, core::time_point now);
 
+    /// @brief Announces whether this member's upstream takes new work; unlike drain() this can change again.
+    void set_accepting(bool accepting, core::time_point now);
+
+    /// @brief Announces that a start of this member's upstream has left.
+    /// @param[in] upstream names the start; not empty
+    void set_departed(std::string upstream, core::time_point now);
+
     /// @return the live members with this one, in order of their ids
     [[nodiscard]] std::vector<member> members() const;
 
--- a/libs/membership/include/poplarport/membership/member.hpp
+++ b/libs/membership/include/poplarport/membership/member.hpp
@@ -32,6 +32,10 @@
     member_state state{member_state::alive};
     bool draining{false};                   ///< takes no new work; never undone within an incarnation
     core::version configuration_version{0}; ///< newest version of the service's document that the member holds
+    std::string service;  ///< service of the member's upstream, in a group of several services; else empty
+    bool accepting{true}; ///< the member's upstream takes new work; may change with each revision
+    /// Start of the member's upstream that has announced its departure; empty for none. Kept over restarts of the node.
+    std::string departed;
 
     bool operator==(const member&) const = default;
 };
--- a/libs/membership/src/detector.cpp
+++ b/libs/membership/src/detector.cpp
@@ -91,6 +91,29 @@
     this->publish_own(now);
 }
 
+void detector::set_accepting(bool accepting, core::time_point now)
+{
+    if (accepting == this->own.accepting)
+    {
+        return;
+    }
+    this->own.accepting = accepting;
+    ++this->own.revision;
+    this->publish_own(now);
+}
+
+void detector::set_departed(std::string upstream, core::time_point now)
+{
+    assert(!upstream.empty());
+    if (upstream == this->own.departed)
+    {
+        return;
+    }
+    this->own.departed = std::move(upstream);
+    ++this->own.revision;
+    this->publish_own(now);
+}
+
 std::vector<member> detector::members() const
 {
     auto members = this->table.live();
--- a/libs/membership/src/detector_messages.cpp
+++ b/libs/membership/src/detector_messages.cpp
@@ -173,6 +173,11 @@
         this->publish_own(now);
         return;
     }
+    if (this->own.departed.empty())
+    {
+        // Others remember it from before a restart of this process.
+        this->own.departed = claimed.departed;
+    }
     if (claimed.revision < this->own.revision ||
         (claimed.revision == this->own.revision && claimed.state == this->own.state))
     {
--- a/libs/membership/src/member.cpp
+++ b/libs/membership/src/member.cpp
@@ -40,12 +40,19 @@
     }
     if (news.incarnation > known.incarnation)
     {
+        // A node that lost its memory learns from the others which upstream has left.
+        auto departed = news.departed.empty() ? known.departed : news.departed;
         known = news;
+        known.departed = std::move(departed);
         return true;
     }
     member result = rank(news) > rank(known) ? news : known;
     result.draining = known.draining || news.draining;
     result.configuration_version = std::max(known.configuration_version, news.configuration_version);
+    if (result.departed.empty())
+    {
+        result.departed = known.departed.empty() ? news.departed : known.departed;
+    }
     const bool changed = result != known;
     known = std::move(result);
     return changed;
--- /dev/null
+++ b/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // shared_ptr, unique_ptr
+#include <random>     // mt19937_64
+#include <string>     // string
+#include <vector>     // vector
+
+#include "poplarport/mesh/configuration_task.hpp"
+#include "poplarport/mesh/discovery_task.hpp"
+#include "poplarport/mesh/entry.hpp"
+#include "poplarport/mesh/mesh_node.hpp"
+#include "poplarport/mesh/upstream_task.hpp"
+#include "poplarport/node/gossip_task.hpp"
+#include "poplarport/node/peer_listener.hpp"
+#include "poplarport/node/service_router.hpp"
+#include "poplarport/observability/metrics.hpp"
+
+namespace poplarport::mesh
+{
+
+/// @brief The tasks of a mesh node. Members are declared in the order in which they depend on each other.
+struct mesh_node::state
+{
+    state(net::event_loop& owner, const mesh_settings& values, adapter installation, std::function<void()> stopped_hook);
+
+    void connect_peers();
+    void connect_upstream();
+    void connect_store();
+    void connect_callers();
+    void add_gauges();
+    void on_table(const std::shared_ptr<const routes::route_table>& value);
+    void on_members(const std::vector<membership::member>& values);
+    void on_departed(const std::string& start, std::function<void()> done);
+    void publish_load();
+    [[nodiscard]] node::service_router& router_of(const std::string& service);
+    [[nodiscard]] peer::link* link_of(const core::node_id& id);
+    [[nodiscard]] node::peer_document answer_peer(std::string_view target) const;
+    void drain();
+    void check_drained();
+
+    net::event_loop* loop;
+    mesh_settings settings;
+    adapter site;
+    std::function<void()> on_stopped;
+    node::node_identity identity;
+    std::mt19937_64 random;
+    observability::metrics metrics{};
+    std::shared_ptr<const routes::route_table> table{};
+    std::vector<membership::member> members{};
+    std::map<std::string, std::unique_ptr<node::service_router>> routers{};
+    std::map<std::string, core::time_point> recent_callers{}; ///< by host
+    std::unique_ptr<upstream_task> upstream{};
+    std::unique_ptr<node::peer_listener> peers{};
+    std::unique_ptr<node::gossip_task> gossip{};
+    std::unique_ptr<configuration_task> configuration{};
+    std::unique_ptr<discovery_task> discovery{};
+    std::unique_ptr<entry> callers{};
+    net::timer drain_timer;
+    core::time_point drain_started{};
+    int unready_answers{0};
+    bool draining{false};
+    bool stopped{false};
+};
+
+} // namespace poplarport::mesh
--- /dev/null
+++ b/libs/mesh/include/poplarport/mesh/entry.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>       // uint64_t
+#include <functional>    // function
+#include <memory>        // shared_ptr, unique_ptr
+#include <optional>      // optional
+#include <random>        // mt19937_64
+#include <string>        // string
+#include <string_view>   // string_view
+#include <system_error>  // error_code
+#include <unordered_map> // unordered_map
+
+#include "poplarport/attempts/retry_budget.hpp"
+#include "poplarport/http/server.hpp"
+#include "poplarport/mesh/adapter.hpp"
+#include "poplarport/mesh/settings.hpp"
+#include "poplarport/net/event_loop.hpp"
+#include "poplarport/node/call_driver.hpp"
+#include "poplarport/routes/route_table.hpp"
+#include "poplarport/routes/share_counter.hpp"
+
+namespace poplarport::mesh
+{
+
+/// @brief The caller-facing side of a mesh node: finds the route of each request and starts the call.
+class entry
+{
+  public:
+    /// @brief Hooks to the rest of the node.
+    struct hooks
+    {
+        /// Opens an attempt of a call to a service.
+        std::function<std::optional<node::opened_attempt>(const attempts::start_parameters&, const http::request_head&,
+                                                          const node::call_description&, node::attempt_channel::hooks)>
+            open;
+        /// Called for each call that ended.
+        std::function<void(const node::call_description&, const node::call_result&)> on_finished;
+        /// Called for each request that was refused before it became a call.
+        std::function<void(std::error_code)> on_refused;
+        std::function<std::size_t()> node_count; ///< nodes that share the retry budgets
+    };
+
+    /// @param[in] loop     loop of the node
+    /// @param[in] settings settings of the node; must outlive the entry
+    /// @param[in] site     the installation; must outlive the entry
+    /// @param[in] random   random engine of the node
+    /// @param[in] events   hooks to the rest of the node
+    entry(net::event_loop& loop, const mesh_settings& settings, const adapter& site, std::mt19937_64& random,
+          hooks events);
+    ~entry();
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+
+    /// @brief Puts a configuration in force for later requests.
+    void apply(std::shared_ptr<const routes::route_table> value);
+
+    /// @brief Prepares a stop: every further answer closes its connection.
+    void drain();
+
+    /// @brief Closes the connections on which no request is in progress.
+    void close_idle();
+
+    /// @brief Stops accepting connections.
+    void stop_listening();
+
+    /// @return calls in progress
+    [[nodiscard]] std::size_t calls_in_progress() const noexcept
+    {
+        return this->calls.size();
+    }
+
+    /// @return open connections of callers
+    [[nodiscard]] std::size_t connection_count() const noexcept
+    {
+        return this->server->connection_count();
+    }
+
+  private:
+    struct call_context
+    {
+        const routes::route* route{nullptr};
+        std::string service;
+        caller_request caller;
+    };
+
+    void handle_request(const std::shared_ptr<http::server_exchange>& exchange);
+    [[nodiscard]] std::optional<call_context> identify(http::server_exchange& exchange);
+    void begin_call(const std::shared_ptr<http::server_exchange>& exchange, const call_context& context);
+    void end_call(std::uint64_t number, const node::call_description& description, const node::call_result& result);
+    void refuse(http::server_exchange& exchange, int status, std::error_code reason, core::request_id id);
+    [[nodiscard]] attempts::retry_budget& budget_of(const std::string& service);
+
+    net::event_loop* loop;
+    const mesh_settings* settings;
+    const adapter* site;
+    std::mt19937_64* random;
+    hooks events;
+    std::shared_ptr<const routes::route_table> table{};
+    routes::share_counter shares{};
+    std::unordered_map<std::string, std::unique_ptr<attempts::retry_budget>> budgets{};
+    std::unordered_map<std::uint64_t, std::shared_ptr<node::call_driver>> calls{};
+    std::uint64_t last_call{0};
+    std::unique_ptr<http::server> server;
+};
+
+} // namespace poplarport::mesh
--- /dev/null
+++ b/libs/mesh/include/poplarport/mesh/settings.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chrono>  // seconds
+#include <cstddef> // size_t
+#include <cstdint> // uint64_t
+#include <string>  // string
+
+#include "poplarport/core/ids.hpp"
+#include "poplarport/core/socket_address.hpp"
+#include "poplarport/core/time.hpp"
+#include "poplarport/settings/document.hpp"
+
+namespace poplarport::mesh
+{
+
+/// @brief Addresses on which a mesh node listens.
+struct listen_settings
+{
+    core::socket_address callers;      ///< requests of callers and of the local upstream
+    core::socket_address peers;        ///< other nodes, TCP and UDP
+    core::socket_address registration; ///< announcements of the local upstream
+    core::socket_address readiness;    ///< readiness checks
+    core::socket_address metrics;      ///< counters and histograms
+
+    bool operator==(const listen_settings&) const = default;
+};
+
+/// @brief Limits that the installation sets for retries, all nodes of a service together.
+struct retry_settings
+{
+    double ratio{0.2};         ///< repeats per request
+    std::uint64_t reserve{64}; ///< repeats in a window beyond the ratio
+    core::duration window{std::chrono::seconds{10}};
+
+    bool operator==(const retry_settings&) const = default;
+};
+
+/// @brief Settings of a mesh node.
+struct mesh_settings
+{
+    core::node_id id;
+    std::string service; ///< service of the local upstream
+    std::string availability_zone;
+    std::string cluster_secret; ///< shared by all nodes of an installation; never logged
+    listen_settings listen;
+    core::socket_address upstream;
+    core::socket_address store;
+    retry_settings retry{};
+    core::duration heartbeat{std::chrono::seconds{1}};    ///< interval of the upstream's announcements
+    core::duration drain_limit{std::chrono::seconds{2}};  ///< a leaving upstream gets no work later than this
+    core::duration stop_limit{std::chrono::seconds{6}};   ///< a stop ends within this time
+    std::size_t descriptors{4096};                        ///< greatest number of open descriptors
+    std::string log_level{"info"};
+
+    bool operator==(const mesh_settings&) const = default;
+};
+
+/// @brief Reads the settings; faults are recorded in the document.
+[[nodiscard]] mesh_settings read_settings(const settings::document& document);
+
+} // namespace poplarport::mesh
--- /dev/null
+++ b/libs/mesh/src/configuration_task.cpp
@@ -0,0 +1,264 @@
+#include "poplarport/mesh/configuration_task.hpp"
+
+#include <algorithm> // max, min, ranges::any_of
+#include <chrono>    // milliseconds, seconds
+#include <utility>   // move
+
+#include "poplarport/membership/jitter.hpp"
+#include "poplarport/membership/rendezvous.hpp"
+#include "poplarport/mesh/errors.hpp"
+#include "poplarport/observability/log_record.hpp"
+
+namespace poplarport::mesh
+{
+
+namespace
+{
+
+// Nodes that watch the store. A store that turns every third node away leaves no watcher in 1 case of 700.
+constexpr std::size_t watcher_count = 6;
+
+// The watchers' waits end at different times, so that one of them soon starts a new watch when all connections to the
+// store have gone silent.
+constexpr std::chrono::seconds watch_wait{10};
+
+constexpr std::chrono::milliseconds first_back_off{100};
+constexpr std::chrono::milliseconds longest_back_off{1000};
+
+// A watcher waits this long for the store's own answer before it asks a member that already has the version.
+constexpr std::chrono::milliseconds pull_delay{150};
+constexpr std::chrono::milliseconds pull_retry{200};
+
+} // namespace
+
+configuration_task::configuration_task(net::event_loop& owner, core::node_id name, std::string key,
+                                       const adapter& installation, std::mt19937_64& engine, hooks values)
+    : loop(&owner), self(std::move(name)), cluster_key(std::move(key)), site(&installation), random(&engine),
+      events(std::move(values)), back_off(first_back_off), store_wakeup(owner,
+                                                                        [this]
+                                                                        {
+                                                                            if (this->listed_at)
+                                                                            {
+                                                                                this->watch();
+                                                                                return;
+                                                                            }
+                                                                            this->list();
+                                                                        }),
+      pull_wakeup(owner, [this] { this->pull(); })
+{
+}
+
+configuration_task::~configuration_task()
+{
+    *this->alive = false;
+}
+
+void configuration_task::start()
+{
+    this->list();
+}
+
+void configuration_task::set_members(const std::vector<membership::member>& values)
+{
+    this->members = values;
+    const bool is_behind =
+        std::ranges::any_of(this->members, [this](const membership::member& each)
+                            { return each.configuration_version > this->held.version; });
+    if (is_behind && !this->pull_wakeup.is_scheduled() && !this->pulling)
+    {
+        const bool expects_it = this->calling && this->listed_at && this->held.version != 0;
+        this->pull_wakeup.schedule(expects_it ? pull_delay : std::chrono::milliseconds{0});
+    }
+    if (!this->calling && !this->store_wakeup.is_scheduled() && this->watches())
+    {
+        this->store_wakeup.schedule(std::chrono::milliseconds{0});
+    }
+}
+
+bool configuration_task::watches() const
+{
+    const auto own_weight = membership::rendezvous_weight("configuration", this->self);
+    const auto ahead = std::ranges::count_if(
+        this->members,
+        [&](const membership::member& each)
+        { return each.id != this->self && membership::rendezvous_weight("configuration", each.id) > own_weight; });
+    return static_cast<std::size_t>(ahead) < watcher_count;
+}
+
+void configuration_task::list()
+{
+    if (std::exchange(this->calling, true))
+    {
+        return;
+    }
+    this->site->objects->list(this->site->configuration_kind,
+                              [this, still_alive = this->alive](const store::outcome<store::listing>& result)
+                              {
+                                  if (*still_alive)
+                                  {
+                                      this->calling = false;
+                                      this->handle_list(result);
+                                  }
+                              });
+}
+
+void configuration_task::handle_list(const store::outcome<store::listing>& result)
+{
+    if (!result.value)
+    {
+        this->handle_failure(result.error);
+        return;
+    }
+    this->back_off = first_back_off;
+    this->listed_at = result.value->at;
+    for (const auto& each : result.value->objects)
+    {
+        if (each.name == this->site->configuration_name)
+        {
+            this->take(each.spec, "store");
+        }
+    }
+    if (this->watches())
+    {
+        this->watch();
+    }
+}
+
+void configuration_task::watch()
+{
+    if (std::exchange(this->calling, true))
+    {
+        return;
+    }
+    const auto wait = membership::around(watch_wait, *this->random);
+    this->site->objects->watch(this->site->configuration_kind, *this->listed_at, wait,
+                               [this, still_alive = this->alive](const store::outcome<store::change_list>& result)
+                               {
+                                   if (*still_alive)
+                                   {
+                                       this->calling = false;
+                                       this->handle_changes(result);
+                                   }
+                               });
+}
+
+void configuration_task::handle_changes(const store::outcome<store::change_list>& result)
+{
+    if (!result.value)
+    {
+        if (result.error == store::errc::history_lost)
+        {
+            this->listed_at.reset();
+        }
+        this->handle_failure(result.error);
+        return;
+    }
+    this->back_off = first_back_off;
+    this->listed_at = std::max(*this->listed_at, result.value->at);
+    for (const auto& each : result.value->changes)
+    {
+        if (each.after.name == this->site->configuration_name && !each.removed)
+        {
+            this->take(each.after.spec, "store");
+        }
+    }
+    if (this->watches())
+    {
+        this->watch();
+    }
+}
+
+void configuration_task::handle_failure(std::error_code error)
+{
+    observability::log_record{"configuration_store_failed"}
+        .with("code", error.value())
+        .with("reason", error.message())
+        .with("held_version", static_cast<std::int64_t>(this->held.version))
+        .with("retry_ms", std::chrono::duration_cast<std::chrono::milliseconds>(this->back_off).count())
+        .write(observability::log_level::warning);
+    const bool lost_history = error == store::errc::history_lost;
+    this->store_wakeup.schedule(lost_history ? core::duration{0} : membership::around(this->back_off, *this->random));
+    this->back_off = std::min<core::duration>(this->back_off * 2, longest_back_off);
+}
+
+void configuration_task::take(const std::string& text, std::string_view source)
+{
+    std::string fault;
+    auto value = this->site->read_configuration(text, fault);
+    if (!value)
+    {
+        observability::log_record{"configuration_rejected"}
+            .with("code", make_error_code(errc::malformed_configuration).value())
+            .with("reason", fault)
+            .with("source", source)
+            .write(observability::log_level::error);
+        return;
+    }
+    if (value->version <= this->held.version)
+    {
+        return;
+    }
+    this->held.version = value->version;
+    this->held.content = text;
+    const auto table = std::make_shared<const routes::route_table>(std::move(*value));
+    observability::log_record{"configuration_applied"}
+        .with("version", static_cast<std::int64_t>(table->version()))
+        .with("routes", static_cast<std::int64_t>(table->source().routes.size()))
+        .with("source", source)
+        .write(observability::log_level::info);
+    this->events.on_table(table);
+}
+
+void configuration_task::pull()
+{
+    if (this->pulling)
+    {
+        return;
+    }
+    std::vector<core::node_id> newer;
+    for (const auto& each : this->members)
+    {
+        if (each.configuration_version > this->held.version)
+        {
+            newer.push_back(each.id);
+        }
+    }
+    if (!newer.empty())
+    {
+        this->pull_from(newer[(*this->random)() % newer.size()]);
+    }
+}
+
+void configuration_task::pull_from(const core::node_id& id)
+{
+    auto* const link = this->events.link_of(id);
+    if (link == nullptr)
+    {
+        this->pull_wakeup.schedule(pull_retry);
+        return;
+    }
+    this->pulling = true;
+    node::detail::pull_document(*link, this->cluster_key,
+                                "/.poplar/config/mesh?above=" + std::to_string(this->held.version),
+                                [this, id, still_alive = this->alive](const node::detail::pull_result& result)
+                                {
+                                    if (!*still_alive)
+                                    {
+                                        return;
+                                    }
+                                    this->pulling = false;
+                                    if (result.document)
+                                    {
+                                        this->take(result.document->content, id);
+                                        return;
+                                    }
+                                    this->pull_wakeup.schedule(pull_retry);
+                                });
+}
+
+node::peer_document configuration_task::answer_pull(core::version above) const
+{
+    return node::detail::make_document_answer(this->held.version == 0 ? nullptr : &this->held, above);
+}
+
+} // namespace poplarport::mesh
--- /dev/null
+++ b/libs/mesh/src/discovery_task.cpp
@@ -0,0 +1,267 @@
+#include "poplarport/mesh/discovery_task.hpp"
+
+#include <algorithm> // min, ranges::find
+#include <chrono>    // milliseconds, seconds
+#include <utility>   // move
+
+#include <nlohmann/json.hpp>
+
+#include "poplarport/membership/jitter.hpp"
+#include "poplarport/membership/rendezvous.hpp"
+#include "poplarport/observability/log_record.hpp"
+
+namespace poplarport::mesh
+{
+
+namespace
+{
+
+constexpr const char* kind = "poplar-nodes";
+constexpr const char* peer_key = "peer";
+constexpr const char* departed_key = "departed";
+
+constexpr std::chrono::milliseconds first_back_off{100};
+
+// Nodes that were away must be back within two seconds of the store's return.
+constexpr std::chrono::milliseconds longest_back_off{1000};
+
+// A node that restarts is back long before this.
+constexpr std::chrono::seconds removal_delay{30};
+
+std::string text_of(const nlohmann::json& value, const char* key)
+{
+    const bool is_text = value.is_object() && value.contains(key) && value[key].is_string();
+    return is_text ? value[key].get<std::string>() : std::string{};
+}
+
+} // namespace
+
+discovery_task::discovery_task(net::event_loop& owner, core::node_id name, core::socket_address address,
+                               store::object_store& store, std::mt19937_64& engine, hooks values)
+    : loop(&owner), self(std::move(name)), peers(std::move(address)), objects(&store), random(&engine),
+      events(std::move(values)), back_off(first_back_off), wakeup(owner, [this] { this->run_step(); }),
+      removal(owner, [this] { this->remove_gone(); })
+{
+    this->run_step();
+}
+
+discovery_task::~discovery_task()
+{
+    *this->alive = false;
+}
+
+void discovery_task::run_step()
+{
+    if (!this->registered)
+    {
+        this->enter();
+        return;
+    }
+    if (!this->listed)
+    {
+        this->list();
+    }
+}
+
+std::string discovery_task::spec() const
+{
+    return nlohmann::json{{peer_key, core::to_string(this->peers)}}.dump();
+}
+
+void discovery_task::enter()
+{
+    this->objects->create(kind, this->self, this->spec(),
+                          [this, still_alive = this->alive](const store::outcome<store::object>& result)
+                          {
+                              if (*still_alive)
+                              {
+                                  this->handle_entered(result);
+                              }
+                          });
+}
+
+void discovery_task::handle_entered(const store::outcome<store::object>& result)
+{
+    if (result.value)
+    {
+        this->registered = true;
+        this->run_step();
+        return;
+    }
+    if (result.error != store::errc::conflict || !result.current)
+    {
+        this->retry(result.error, "enter");
+        return;
+    }
+    const auto status = nlohmann::json::parse(result.current->status, nullptr, false);
+    const auto departed = text_of(status, departed_key);
+    if (!departed.empty())
+    {
+        this->events.on_departed(departed);
+    }
+    const auto held = nlohmann::json::parse(result.current->spec, nullptr, false);
+    if (text_of(held, peer_key) != core::to_string(this->peers))
+    {
+        this->replace(*result.current);
+        return;
+    }
+    this->registered = true;
+    this->run_step();
+}
+
+void discovery_task::replace(store::object current)
+{
+    current.spec = this->spec();
+    this->objects->replace(kind, current,
+                           [this, still_alive = this->alive](const store::outcome<store::object>& result)
+                           {
+                               if (!*still_alive)
+                               {
+                                   return;
+                               }
+                               if (!result.value)
+                               {
+                                   this->retry(result.error, "replace");
+                                   return;
+                               }
+                               this->registered = true;
+                               this->run_step();
+                           });
+}
+
+void discovery_task::list()
+{
+    this->objects->list(kind,
+                        [this, still_alive = this->alive](const store::outcome<store::listing>& result)
+                        {
+                            if (*still_alive)
+                            {
+                                this->handle_listed(result);
+                            }
+                        });
+}
+
+void discovery_task::handle_listed(const store::outcome<store::listing>& result)
+{
+    if (!result.value)
+    {
+        this->retry(result.error, "list");
+        return;
+    }
+    this->listed = true;
+    std::vector<core::socket_address> addresses;
+    for (const auto& each : result.value->objects)
+    {
+        const auto value = nlohmann::json::parse(each.spec, nullptr, false);
+        const auto address = core::parse_socket_address(text_of(value, peer_key));
+        if (!address)
+        {
+            observability::log_record{"node_object_rejected"}
+                .with("node", each.name)
+                .with("revision", static_cast<std::int64_t>(each.changed_at))
+                .write(observability::log_level::warning);
+            continue;
+        }
+        if (each.name != this->self)
+        {
+            addresses.push_back(*address);
+            this->gone.try_emplace(each.name, this->loop->now() + removal_delay);
+        }
+    }
+    observability::log_record{"nodes_listed"}
+        .with("nodes", static_cast<std::int64_t>(addresses.size()))
+        .with("revision", static_cast<std::int64_t>(result.value->at))
+        .write(observability::log_level::info);
+    this->events.on_addresses(addresses);
+    this->removal.schedule(removal_delay);
+}
+
+void discovery_task::retry(std::error_code error, std::string_view step)
+{
+    observability::log_record{"discovery_failed"}
+        .with("step", step)
+        .with("code", error.value())
+        .with("reason", error.message())
+        .write(observability::log_level::warning);
+    this->wakeup.schedule(membership::around(this->back_off, *this->random));
+    this->back_off = std::min<core::duration>(this->back_off * 2, longest_back_off);
+}
+
+void discovery_task::set_members(const std::vector<membership::member>& values)
+{
+    const auto now = this->loop->now();
+    for (const auto& each : this->members)
+    {
+        this->gone.try_emplace(each.id, now + removal_delay);
+    }
+    this->members = values;
+    for (const auto& each : this->members)
+    {
+        this->gone.erase(each.id);
+    }
+    if (!this->gone.empty() && !this->removal.is_scheduled())
+    {
+        this->removal.schedule(removal_delay);
+    }
+}
+
+bool discovery_task::is_on_duty() const
+{
+    const auto order = membership::rendezvous_order(kind, this->members);
+    return !order.empty() && order.front().id == this->self;
+}
+
+void discovery_task::remove_gone()
+{
+    const auto now = this->loop->now();
+    const bool on_duty = this->is_on_duty();
+    for (auto each = this->gone.begin(); each != this->gone.end();)
+    {
+        if (each->second > now)
+        {
+            ++each;
+            continue;
+        }
+        if (on_duty)
+        {
+            this->remove(each->first);
+        }
+        each = this->gone.erase(each);
+    }
+    if (!this->gone.empty())
+    {
+        this->removal.schedule(removal_delay);
+    }
+}
+
+void discovery_task::remove(const core::node_id& id)
+{
+    this->objects->get(
+        kind, id,
+        [this, id, still_alive = this->alive](const store::outcome<store::object>& result)
+        {
+            const bool is_back = *still_alive && std::ranges::find(this->members, id, &membership::member::id) !=
+                                                     this->members.end();
+            if (!*still_alive || !result.value || is_back)
+            {
+                return;
+            }
+            this->objects->remove(kind, id, result.value->changed_at,
+                                  [id](const store::outcome<store::object>& removed)
+                                  {
+                                      observability::log_record{"node_object_removed"}
+                                          .with("node", id)
+                                          .with("code", removed.error.value())
+                                          .write(observability::log_level::info);
+                                  });
+        });
+}
+
+void discovery_task::keep_departed(const std::string& start, std::function<void(bool)> on_end)
+{
+    this->objects->replace_status(kind, this->self, nlohmann::json{{departed_key, start}}.dump(),
+                                  [on_end = std::move(on_end)](const store::outcome<store::object>& result)
+                                  { on_end(result.value.has_value()); });
+}
+
+} // namespace poplarport::mesh
--- /dev/null
+++ b/libs/mesh/src/errors.cpp
@@ -0,0 +1,39 @@
+#include "poplarport/mesh/errors.hpp"
+
+#include <array> // array
+
+namespace poplarport::mesh
+{
+
+namespace
+{
+
+constexpr std::array<result::code_entry, 6> rows{{
+    {1700, "no_configuration", "The node holds no configuration yet.",
+     "The node has just started, and neither the store nor a peer has answered."},
+    {1701, "no_route", "No route matches the request's host and path.",
+     "The route was removed, or the caller's address is wrong."},
+    {1702, "authority_mismatch", "The request's target and its Host field name different hosts.",
+     "The caller is faulty, or tries to reach another route than its proxies see."},
+    {1703, "malformed_configuration", "A version of the configuration cannot be read; the former one stays in force.",
+     "The object was written by another program, or was cut off."},
+    {1704, "no_upstream", "The service has no upstream that takes work.",
+     "All upstreams of the service are down, draining, or not known yet."},
+    {1705, "unreadable_request", "The fields that name a request or limit its time cannot be read.",
+     "The caller sends no request id, or a malformed time limit."},
+}};
+
+} // namespace
+
+const result::table_category& category() noexcept
+{
+    static const result::table_category instance{"mesh", rows};
+    return instance;
+}
+
+std::error_code make_error_code(errc value) noexcept
+{
+    return {static_cast<int>(value), category()};
+}
+
+} // namespace poplarport::mesh
--- /dev/null
+++ b/libs/mesh/src/mesh_node.cpp
@@ -0,0 +1,449 @@
+#include "poplarport/mesh/mesh_node.hpp"
+
+#include <algorithm>   // ranges::find
+#include <charconv>    // from_chars
+#include <chrono>      // milliseconds, seconds
+#include <string_view> // string_view
+#include <utility>     // exchange, move
+
+#include "poplarport/mesh/detail/mesh_state.hpp"
+#include "poplarport/node/detail/document_pull.hpp"
+#include "poplarport/observability/log_record.hpp"
+#include "poplarport/wire/datagram.hpp"
+
+namespace poplarport::mesh
+{
+
+namespace
+{
+
+constexpr const char* group_name = "mesh";
+constexpr std::string_view config_path = "/.poplar/config/mesh";
+
+constexpr std::chrono::milliseconds drain_check_interval{20};
+
+// Callers notice a node that is not ready by two checks in a row; until then they open connections to it.
+constexpr int unready_answers_until_quiet = 2;
+constexpr std::chrono::milliseconds longest_quiet_wait{2500};
+
+// Time for the announcement of the end to leave the process.
+constexpr std::chrono::milliseconds farewell_time{50};
+
+// A stop ends this long before its limit, because the process still has to exit.
+constexpr std::chrono::milliseconds stop_reserve{400};
+
+// Nodes that have sent a call within this time are told of a change of the upstream's speed.
+constexpr std::chrono::seconds caller_memory{3};
+
+// Longest wait for the store to keep a departure. Other nodes also remember it, and an upstream that gets no
+// acknowledgement within a second asks elsewhere.
+constexpr std::chrono::milliseconds departure_wait{400};
+
+membership::detector_settings detector_settings()
+{
+    membership::detector_settings values;
+    // All nodes of an installation start together and need each other within a second.
+    values.start_jitter = std::chrono::milliseconds{100};
+    // A new version of the configuration reaches all nodes within a second.
+    values.gossip_interval = std::chrono::milliseconds{100};
+    values.ended_retention = std::chrono::minutes{10};
+    return values;
+}
+
+membership::member make_member(const mesh_settings& settings)
+{
+    membership::member self;
+    self.id = settings.id;
+    self.incarnation = node::incarnation_of_this_start();
+    self.availability_zone = settings.availability_zone;
+    self.peer_address = settings.listen.peers;
+    self.http_address = settings.listen.callers;
+    self.service = settings.service;
+    self.accepting = false;
+    return self;
+}
+
+core::version parse_version(std::string_view text)
+{
+    core::version value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+} // namespace
+
+mesh_node::state::state(net::event_loop& owner, const mesh_settings& values, adapter installation,
+                        std::function<void()> stopped_hook)
+    : loop(&owner), settings(values), site(std::move(installation)), on_stopped(std::move(stopped_hook)),
+      identity{values.id, values.availability_zone, values.cluster_secret}, random(std::random_device{}()),
+      drain_timer(owner, [this] { this->check_drained(); })
+{
+    this->connect_upstream();
+    this->connect_peers();
+    this->connect_store();
+    this->connect_callers();
+    this->add_gauges();
+    this->configuration->start();
+}
+
+void mesh_node::state::connect_upstream()
+{
+    upstream_task::hooks hooks;
+    hooks.on_accepting = [this](bool accepting)
+    {
+        this->gossip->update([accepting](membership::detector& detector, core::time_point now)
+                             { detector.set_accepting(accepting, now); });
+        this->on_members(this->gossip->members());
+    };
+    hooks.on_departed = [this](const std::string& start, std::function<void()> done)
+    {
+        this->on_departed(start, std::move(done));
+    };
+    hooks.on_slowdown = [this]
+    {
+        this->publish_load();
+    };
+    hooks.knows_past = [this]
+    {
+        return this->discovery->knows_past();
+    };
+    hooks.better_peers = [this](core::duration wait_limit)
+    {
+        return this->router_of(this->settings.service).better_peers(wait_limit);
+    };
+    this->upstream = std::make_unique<upstream_task>(*this->loop, this->settings, this->site, std::move(hooks));
+    this->router_of(this->settings.service).set_local(&this->upstream->receiver());
+}
+
+void mesh_node::state::connect_peers()
+{
+    node::peer_listener::hooks hooks;
+    hooks.config_version = [this]
+    {
+        return this->configuration->version();
+    };
+    hooks.wait_elsewhere = [this]
+    {
+        return this->router_of(this->settings.service).wait_elsewhere();
+    };
+    hooks.document = [this](std::string_view target)
+    {
+        return this->answer_peer(target);
+    };
+    hooks.on_caller = [this](const core::socket_address& from)
+    {
+        this->recent_callers[from.host] = this->loop->now();
+    };
+    this->peers = std::make_unique<node::peer_listener>(*this->loop, this->settings.listen.peers, this->identity,
+                                                        this->settings.service, std::move(hooks));
+    this->peers->set_receiver(&this->upstream->receiver());
+    this->gossip = std::make_unique<node::gossip_task>(
+        *this->loop,
+        node::gossip_parameters{group_name, make_member(this->settings), this->settings.cluster_secret,
+                                detector_settings(), {}},
+        this->random,
+        node::gossip_task::hooks{.on_members = [this](const auto& values) { this->on_members(values); },
+                                 .on_idle_hint = {},
+                                 .on_load =
+                                     [this](const core::node_id& id, const core::load_report& load)
+                                 {
+                                     for (const auto& [name, router] : this->routers)
+                                     {
+                                         router->on_load(id, load);
+                                     }
+                                 },
+                                 .on_superseded = [this] { this->drain(); }});
+}
+
+void mesh_node::state::connect_store()
+{
+    this->configuration = std::make_unique<configuration_task>(
+        *this->loop, this->settings.id, this->identity.cluster_key, this->site, this->random,
+        configuration_task::hooks{.on_table = [this](const auto& value) { this->on_table(value); },
+                                  .link_of = [this](const core::node_id& id) { return this->link_of(id); }});
+    this->discovery = std::make_unique<discovery_task>(
+        *this->loop, this->settings.id, this->settings.listen.peers, *this->site.objects, this->random,
+        discovery_task::hooks{.on_addresses =
+                                  [this](const std::vector<core::socket_address>& addresses)
+                              {
+                                  this->gossip->update([&](membership::detector& detector, core::time_point)
+                                                       { detector.set_seeds(addresses); });
+                                  this->gossip->contact(addresses);
+                              },
+                              .on_departed =
+                                  [this](const std::string& start)
+                              {
+                                  this->upstream->remember_departed(start);
+                              }});
+}
+
+void mesh_node::state::connect_callers()
+{
+    entry::hooks hooks;
+    hooks.open = [this](const auto& parameters, const auto& head, const auto& description, auto events)
+    {
+        return this->router_of(description.service).open(parameters, head, description, std::move(events));
+    };
+    hooks.on_finished = [this](const node::call_description& description, const node::call_result& result)
+    {
+        this->metrics.count_call(description.service, description.traffic_class, result.outcome, result.latency);
+    };
+    hooks.on_refused = [this](std::error_code reason)
+    {
+        this->metrics.count_refusal(reason.value());
+    };
+    hooks.node_count = [this]
+    {
+        return this->members.size();
+    };
+    this->callers =
+        std::make_unique<entry>(*this->loop, this->settings, this->site, this->random, std::move(hooks));
+}
+
+void mesh_node::state::on_table(const std::shared_ptr<const routes::route_table>& value)
+{
+    this->table = value;
+    this->callers->apply(value);
+    for (const auto& each : value->source().services)
+    {
+        this->router_of(each.name).apply({.connection_limit = each.connection_limit}, value->version());
+    }
+    if (const auto* const own = value->find_service(this->settings.service))
+    {
+        this->upstream->apply(*own);
+    }
+    this->gossip->update([&value](membership::detector& detector, core::time_point now)
+                         { detector.set_configuration_version(value->version(), now); });
+}
+
+void mesh_node::state::on_members(const std::vector<membership::member>& values)
+{
+    this->members = values;
+    std::map<std::string, std::vector<membership::member>> by_service;
+    for (const auto& each : values)
+    {
+        if (each.accepting)
+        {
+            by_service[each.service].push_back(each);
+        }
+        if (each.id == this->settings.id)
+        {
+            // Others may remember a departure from before a restart of this process.
+            this->upstream->remember_departed(each.departed);
+        }
+    }
+    for (const auto& [name, router] : this->routers)
+    {
+        by_service.try_emplace(name);
+    }
+    for (const auto& [name, list] : by_service)
+    {
+        this->router_of(name).set_members(list);
+    }
+    this->configuration->set_members(values);
+    this->discovery->set_members(values);
+}
+
+void mesh_node::state::on_departed(const std::string& start, std::function<void()> done)
+{
+    this->gossip->update([&start](membership::detector& detector, core::time_point now)
+                         { detector.set_departed(start, now); });
+    const auto pending = std::make_shared<std::function<void()>>(std::move(done));
+    const auto finish = [pending]
+    {
+        if (const auto hook = std::exchange(*pending, nullptr))
+        {
+            hook();
+        }
+    };
+    const auto limit = std::make_shared<net::timer>(*this->loop, finish);
+    limit->schedule(departure_wait);
+    this->discovery->keep_departed(start,
+                                   [finish, limit, start](bool kept)
+                                   {
+                                       observability::log_record{"departure_kept"}
+                                           .with("upstream", start)
+                                           .with("in_store", kept ? "true" : "false")
+                                           .write(observability::log_level::info);
+                                       limit->cancel();
+                                       finish();
+                                   });
+}
+
+void mesh_node::state::publish_load()
+{
+    if (!this->gossip)
+    {
+        return;
+    }
+    const auto load = this->upstream->receiver().load();
+    this->router_of(this->settings.service).on_load(this->settings.id, load);
+    const auto now = this->loop->now();
+    std::erase_if(this->recent_callers, [&](const auto& each) { return now - each.second > caller_memory; });
+    const auto bytes = wire::encode(wire::load_notice{this->settings.id, load}, this->settings.cluster_secret);
+    for (const auto& each : this->members)
+    {
+        if (each.id != this->settings.id && this->recent_callers.contains(each.peer_address.host))
+        {
+            this->gossip->send(each.peer_address, bytes);
+        }
+    }
+}
+
+node::service_router& mesh_node::state::router_of(const std::string& service)
+{
+    auto& router = this->routers[service];
+    if (!router)
+    {
+        router = std::make_unique<node::service_router>(*this->loop, this->identity, service, this->random,
+                                                        node::service_router::hooks{});
+        std::vector<membership::member> list;
+        for (const auto& each : this->members)
+        {
+            if (each.service == service && each.accepting)
+            {
+                list.push_back(each);
+            }
+        }
+        router->set_members(list);
+    }
+    return *router;
+}
+
+peer::link* mesh_node::state::link_of(const core::node_id& id)
+{
+    const auto found = std::ranges::find(this->members, id, &membership::member::id);
+    return found == this->members.end() ? nullptr : &this->router_of(found->service).link_to(found->peer_address);
+}
+
+node::peer_document mesh_node::state::answer_peer(std::string_view target) const
+{
+    constexpr int not_found = 404;
+    if (target.substr(0, target.find('?')) == config_path)
+    {
+        return this->configuration->answer_pull(parse_version(node::detail::query_parameter(target, "above")));
+    }
+    return {not_found, "text/plain", "no such document\n"};
+}
+
+void mesh_node::state::add_gauges()
+{
+    const auto add = [this](const char* name, const char* help, auto value)
+    {
+        this->metrics.add_gauge(name, help, [value] { return static_cast<double>(value()); });
+    };
+    add("poplarport_calls_in_progress", "Calls of callers in progress.",
+        [this] { return this->callers->calls_in_progress(); });
+    add("poplarport_caller_connections", "Open connections of callers.",
+        [this] { return this->callers->connection_count(); });
+    add("poplarport_members", "Live members of the mesh.", [this] { return this->members.size(); });
+    add("poplarport_configuration_version", "Version of the configuration that is in force.",
+        [this] { return this->configuration->version(); });
+    add("poplarport_store_calls", "Calls to the object store, a watch counted as one.",
+        [this] { return this->site.objects->calls(); });
+    add("poplarport_store_failures", "Calls to the object store without a usable answer.",
+        [this] { return this->site.objects->failures(); });
+    add("poplarport_membership_bytes_out", "Bytes of membership datagrams sent.",
+        [this] { return this->gossip->traffic().bytes_out; });
+    add("poplarport_membership_datagrams_refused", "Datagrams that were damaged or not authentic.",
+        [this] { return this->gossip->traffic().refused; });
+    add("poplarport_upstream_accepting", "Whether the local upstream takes work.",
+        [this] { return this->upstream->accepting() ? 1 : 0; });
+    add("poplarport_upstream_slowdown_percent", "Present duration of work on the VM, 100 for its usual speed.",
+        [this] { return this->upstream->receiver().load().slowdown_percent; });
+    add("poplarport_upstream_requests_dispatched", "Requests sent to the upstream.",
+        [this] { return this->upstream->receiver().statistics().dispatched; });
+    add("poplarport_upstream_requests_refused", "Requests that admission refused.",
+        [this] { return this->upstream->receiver().statistics().refused; });
+    add("poplarport_log_records_dropped", "Log records that were not written.",
+        [] { return observability::dropped_records(); });
+}
+
+void mesh_node::state::drain()
+{
+    if (std::exchange(this->draining, true))
+    {
+        return;
+    }
+    this->drain_started = this->loop->now();
+    observability::log_record{"drain_started"}
+        .with("node", this->settings.id)
+        .with("calls_in_progress", static_cast<std::int64_t>(this->callers->calls_in_progress()))
+        .write(observability::log_level::info);
+    this->gossip->update([](membership::detector& detector, core::time_point now) { detector.drain(now); });
+    this->callers->drain();
+    this->drain_timer.schedule(drain_check_interval);
+}
+
+void mesh_node::state::check_drained()
+{
+    const auto waited = this->loop->now() - this->drain_started;
+    if (this->stopped)
+    {
+        this->on_stopped();
+        return;
+    }
+    const bool expired = waited >= this->settings.stop_limit - stop_reserve;
+    const bool callers_know = this->unready_answers >= unready_answers_until_quiet || waited > longest_quiet_wait;
+    if (callers_know)
+    {
+        this->callers->stop_listening();
+        this->callers->close_idle();
+        this->peers->drain();
+    }
+    const bool is_idle = callers_know && this->callers->calls_in_progress() == 0 &&
+                         this->callers->connection_count() == 0 && this->upstream->receiver().is_idle() &&
+                         this->peers->call_count() == 0;
+    if (!is_idle && !expired)
+    {
+        this->drain_timer.schedule(drain_check_interval);
+        return;
+    }
+    this->stopped = true;
+    observability::log_record{"drain_finished"}
+        .with("node", this->settings.id)
+        .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())
+        .with("complete", is_idle ? "true" : "false")
+        .write(is_idle ? observability::log_level::info : observability::log_level::warning);
+    this->gossip->leave();
+    this->drain_timer.schedule(farewell_time);
+}
+
+mesh_node::mesh_node(net::event_loop& loop, const mesh_settings& settings, adapter site,
+                     std::function<void()> on_stopped)
+    : data(std::make_unique<state>(loop, settings, std::move(site), std::move(on_stopped)))
+{
+}
+
+mesh_node::~mesh_node() = default;
+
+void mesh_node::announce(const registration::announcement& value,
+                         const std::function<void(std::error_code)>& acknowledge)
+{
+    this->data->upstream->announce(value, acknowledge);
+}
+
+void mesh_node::leave(const registration::upstream_start& start,
+                      const std::function<void(std::error_code)>& acknowledge)
+{
+    this->data->upstream->leave(start, acknowledge);
+}
+
+bool mesh_node::answer_readiness()
+{
+    const bool ready = !this->data->draining && this->data->configuration->version() != 0;
+    this->data->unready_answers = ready ? 0 : this->data->unready_answers + 1;
+    return ready;
+}
+
+std::string mesh_node::metrics_text() const
+{
+    return this->data->metrics.text();
+}
+
+void mesh_node::drain()
+{
+    this->data->drain();
+}
+
+} // namespace poplarport::mesh
--- /dev/null
+++ b/libs/mesh/src/settings.cpp
@@ -0,0 +1,82 @@
+#include "poplarport/mesh/settings.hpp"
+
+#include <algorithm>   // ranges::all_of
+#include <string_view> // string_view
+
+namespace poplarport::mesh
+{
+
+namespace
+{
+
+constexpr std::size_t shortest_cluster_secret = 16;
+constexpr std::size_t greatest_name_length = 128;
+
+bool is_printable(std::string_view text)
+{
+    return std::ranges::all_of(text, [](char letter) { return letter > ' ' && letter < '\x7f'; });
+}
+
+const settings::text_rule& name_rule()
+{
+    static const settings::text_rule rule{"up to 128 printable characters without spaces and commas",
+                                          [](std::string_view text)
+                                          {
+                                              return !text.empty() && text.size() <= greatest_name_length &&
+                                                     is_printable(text) && text.find(',') == std::string_view::npos;
+                                          },
+                                          {}};
+    return rule;
+}
+
+const settings::text_rule& secret_rule()
+{
+    static const settings::text_rule rule{"at least 16 printable characters without spaces",
+                                          [](std::string_view text)
+                                          { return text.size() >= shortest_cluster_secret && is_printable(text); },
+                                          {}};
+    return rule;
+}
+
+settings::range<std::chrono::milliseconds> up_to(std::chrono::milliseconds greatest)
+{
+    return {std::chrono::milliseconds{1}, greatest, std::nullopt};
+}
+
+} // namespace
+
+mesh_settings read_settings(const settings::document& document)
+{
+    constexpr std::int64_t least_descriptors = 256;
+    constexpr std::int64_t greatest_descriptors = 1'000'000;
+    constexpr std::int64_t default_descriptors = 4096;
+    constexpr std::int64_t greatest_reserve = 1'000'000;
+    constexpr std::chrono::minutes longest{10};
+    const auto root = document.root();
+    mesh_settings result;
+    const auto node = root.child("node");
+    result.id = node.text("id", name_rule());
+    result.service = node.text("service", name_rule());
+    result.availability_zone = node.text("availability_zone", name_rule());
+    result.cluster_secret = node.text("cluster_secret", secret_rule());
+    const auto listen = root.child("listen");
+    result.listen = {listen.address("callers"), listen.address("peers"), listen.address("registration"),
+                     listen.address("readiness"), listen.address("metrics")};
+    const auto upstream = root.child("upstream");
+    result.upstream = upstream.address("address");
+    result.heartbeat = upstream.duration("heartbeat", up_to(longest));
+    result.drain_limit = upstream.duration("drain_limit", up_to(longest));
+    result.store = root.child("store").address("address");
+    const auto retry = root.child("retry");
+    result.retry.ratio = retry.number("ratio", {0.0, 1.0});
+    result.retry.reserve = static_cast<std::uint64_t>(retry.integer("reserve", {0, greatest_reserve}));
+    result.retry.window = retry.duration("window", up_to(longest));
+    const auto limits = root.child("limits");
+    result.stop_limit = limits.duration("stop", up_to(longest));
+    result.descriptors = static_cast<std::size_t>(
+        limits.integer("descriptors", {least_descriptors, greatest_descriptors, default_descriptors}));
+    result.log_level = root.child("log").choice("level", {"debug", "info", "warning", "error"}, "info");
+    return result;
+}
+
+} // namespace poplarport::mesh
--- a/libs/node/include/poplarport/node/call_description.hpp
+++ b/libs/node/include/poplarport/node/call_description.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef> // size_t
 #include <cstdint> // uint32_t, uint64_t
 #include <string>  // string
 
@@ -21,6 +22,8 @@
     std::uint32_t depth{0};            ///< calls above this one
     std::uint32_t attempt{1};          ///< attempts on the path of this call, 1 for a first attempt
     std::uint64_t body_limit_bytes{0}; ///< greatest size of the request's body
+    /// Bytes of an answer that are held until it is complete, so that a broken one can be replaced; 0 for none.
+    std::size_t held_answer_bytes{0};
 };
 
 } // namespace poplarport::node
--- a/libs/node/include/poplarport/node/call_driver.hpp
+++ b/libs/node/include/poplarport/node/call_driver.hpp
@@ -17,6 +17,7 @@
 #include "poplarport/net/timer.hpp"
 #include "poplarport/node/attempt_channel.hpp"
 #include "poplarport/node/call_description.hpp"
+#include "poplarport/node/call_protocol.hpp"
 
 namespace poplarport::node
 {
@@ -51,18 +52,21 @@
                                                     const call_description&, attempt_channel::hooks)>
             open;
         std::function<void(const call_result&)> on_finished; ///< called exactly once
+        /// Proposes when a call that was not run is worth another try; may be empty.
+        std::function<std::optional<core::duration>(const call_description&)> retry_after;
     };
 
     /// @param[in] loop        loop of the node
     /// @param[in] exchange    the caller's request
+    /// @param[in] protocol    fields of callers and upstreams; must outlive the call
     /// @param[in] description what the entry node found out
     /// @param[in] request     what the attempt logic needs to know
     /// @param[in] limits      limits for attempts
     /// @param[in] budget      retry budget of the service; must outlive the call
     /// @param[in] random      random engine of the node
     /// @param[in] events      hooks to the rest of the node
-    call_driver(net::event_loop& loop, std::shared_ptr<http::server_exchange> exchange, call_description description,
-                const attempts::call_request& request, const attempts::call_limits& limits,
+    call_driver(net::event_loop& loop, std::shared_ptr<http::server_exchange> exchange, const call_protocol& protocol,
+                call_description description, const attempts::call_request& request, const attempts::call_limits& limits,
                 attempts::retry_budget& budget, std::mt19937_64& random, hooks events);
 
     /// @brief Starts the first attempt.
@@ -73,6 +77,9 @@
     {
         std::shared_ptr<attempt_channel> channel{};
         std::optional<http::response_head> head{};
+        std::string held{};       ///< body of an answer that is not forwarded yet
+        bool is_held{false};      ///< the answer is kept until it is complete
+        bool is_complete{false};  ///< the held answer is complete
         bool sent_reported{false};
     };
 
@@ -88,7 +95,11 @@
     void handle_body_end();
     void handle_caller_gone();
     void handle_failure(attempts::attempt_id id, const attempt_failure& failure);
+    void handle_answer_head(attempts::attempt_id id, http::response_head& head);
     void handle_answer_body(attempts::attempt_id id, std::string_view bytes);
+    void handle_answer_end(attempts::attempt_id id);
+    void release_held(attempts::attempt_id id);
+    [[nodiscard]] std::optional<attempts::attempt_id> failed_answer() const;
     void handle_timer();
     void push(attempts::attempt_id id, attempts::attempt_event event);
     void process_events();
@@ -105,6 +116,7 @@
 
     net::event_loop* loop;
     std::shared_ptr<http::server_exchange> exchange;
+    const call_protocol* protocol;
     call_description description;
     http::request_head forwarded_request;
     attempts::call call;
--- a/libs/node/include/poplarport/node/detail/forwarding.hpp
+++ b/libs/node/include/poplarport/node/detail/forwarding.hpp
@@ -6,7 +6,7 @@
 #include "poplarport/core/outcome.hpp"
 #include "poplarport/http/message.hpp"
 #include "poplarport/node/call_description.hpp"
-#include "poplarport/node/receiver.hpp"
+#include "poplarport/node/call_protocol.hpp"
 
 namespace poplarport::node::detail
 {
@@ -19,8 +19,10 @@
 
 /// @brief Adds what the upstream is told of a call: id, tenant, class, depth, attempt and remaining time.
 ///
+/// @param[in] left time until the deadline; the upstream is told it in milliseconds, rounded up
+///
 /// The upstream passes depth and attempt on with calls of its own, so that retries do not multiply over many levels.
-void add_upstream_fields(http::request_head& head, const received_call& call, core::time_point now);
+void add_upstream_fields(http::request_head& head, const received_call& call, core::duration left);
 
 /// @brief Prepares the head of an upstream's answer for the caller.
 void prepare_answer(http::response_head& head, const call_description& description);
--- a/libs/node/include/poplarport/node/detail/local_channel.hpp
+++ b/libs/node/include/poplarport/node/detail/local_channel.hpp
@@ -2,6 +2,7 @@
 
 #include <memory> // enable_shared_from_this, shared_ptr
 #include <string> // string
+#include <system_error> // error_code
 
 #include "poplarport/http/client_connection.hpp"
 #include "poplarport/net/timer.hpp"
@@ -55,7 +56,7 @@
     state current{state::waiting};
     std::string buffered{};
     bool request_finished{false};
-    bool is_shed{false};
+    std::error_code refused_by{}; ///< set when the head proves that the upstream did not run the request
     core::time_point dispatched_at{};
     std::shared_ptr<http::client_connection> connection{};
     net::timer deadline_timer;
--- a/libs/node/include/poplarport/node/detail/node_state.hpp
+++ b/libs/node/include/poplarport/node/detail/node_state.hpp
@@ -57,6 +57,7 @@
     std::function<void()> on_stopped;
     node_identity identity;
     std::mt19937_64 random;
+    call_protocol protocol{own_protocol()};
     observability::metrics metrics{};
     platform_client platform;
     manifest::service_directory directory{};
--- /dev/null
+++ b/libs/node/include/poplarport/node/detail/status_check.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional> // function
+#include <memory>     // enable_shared_from_this, shared_ptr
+#include <string>     // string
+
+#include "poplarport/http/client_connection.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/node/receiver.hpp"
+
+namespace poplarport::node::detail
+{
+
+/// @brief One status check of the local upstream, on a connection of the receiver's pool. Owns itself until it ends.
+class status_check final : public std::enable_shared_from_this<status_check>
+{
+  public:
+    status_check(receiver& owner, std::function<void(const http::response_head*)> hook);
+
+    /// @brief Sends the check.
+    void start(const std::string& path, core::duration timeout);
+
+  private:
+    void end(bool answered);
+
+    receiver* owner;
+    std::function<void(const http::response_head*)> hook;
+    std::shared_ptr<http::client_connection> connection{};
+    http::response_head answer{};
+    std::shared_ptr<status_check> self{};
+    net::timer timer;
+};
+
+} // namespace poplarport::node::detail
--- a/libs/node/include/poplarport/node/entry.hpp
+++ b/libs/node/include/poplarport/node/entry.hpp
@@ -107,6 +107,7 @@
     std::mt19937_64* random;
     std::string node_name;
     hooks events;
+    call_protocol protocol{own_protocol()};
     limits::tenant_limiter limiter{};
     std::unordered_map<std::string, std::unique_ptr<attempts::retry_budget>> budgets{};
     std::unordered_map<core::request_id, std::shared_ptr<call_driver>> calls{};
--- a/libs/node/include/poplarport/node/errors.hpp
+++ b/libs/node/include/poplarport/node/errors.hpp
@@ -21,7 +21,10 @@
     unknown_peer = 1307,
     service_not_served = 1308,
     caller_gone = 1309,
-    malformed_deadline = 1310
+    malformed_deadline = 1310,
+    upstream_not_accepting = 1311,
+    foreign_answer = 1312,
+    misdirected = 1313
 };
 
 /// @return the category of this library's result codes
--- a/libs/node/include/poplarport/node/membership_task.hpp
+++ b/libs/node/include/poplarport/node/membership_task.hpp
@@ -5,15 +5,13 @@
 #include <optional>    // optional
 #include <random>      // mt19937_64
 #include <string>      // string
-#include <string_view> // string_view
 #include <vector>      // vector
 
 #include "poplarport/core/socket_address.hpp"
-#include "poplarport/membership/detector.hpp"
 #include "poplarport/membership/seed_duty.hpp"
-#include "poplarport/net/datagram_socket.hpp"
 #include "poplarport/net/event_loop.hpp"
 #include "poplarport/net/timer.hpp"
+#include "poplarport/node/gossip_task.hpp"
 #include "poplarport/node/peer_listener.hpp"
 #include "poplarport/node/platform_client.hpp"
 #include "poplarport/node/service_router.hpp"
@@ -33,16 +31,6 @@
     std::vector<core::socket_address> seeds;
 };
 
-/// @brief Traffic of membership since the start.
-struct membership_traffic
-{
-    std::uint64_t datagrams_in{0};
-    std::uint64_t datagrams_out{0};
-    std::uint64_t bytes_in{0};
-    std::uint64_t bytes_out{0};
-    std::uint64_t refused{0}; ///< datagrams that could not be decoded or were not authentic
-};
-
 /// @brief Takes part in the membership of the node's own service and keeps the service's seeds on the platform.
 class membership_task
 {
@@ -93,20 +81,11 @@
     /// @return traffic since the start
     [[nodiscard]] const membership_traffic& traffic() const noexcept
     {
-        return this->counted;
-    }
-
-    /// @return counters of the detector
-    [[nodiscard]] const membership::detector_counters& counters() const noexcept
-    {
-        return this->detector.counters();
+        return this->gossip.traffic();
     }
 
   private:
-    void handle_datagram(const core::socket_address& from, std::string_view bytes);
-    void tick();
-    void act_on(const membership::detector_output& output);
-    void send(const core::socket_address& to, const std::string& bytes);
+    void handle_members(const std::vector<membership::member>& members);
     void read_seeds_at_start();
     void handle_seeds_at_start(const platform_read& result);
     void keep_seeds();
@@ -114,19 +93,15 @@
     void handle_seeds(const platform_read& result);
     void handle_written(platform_write result);
     void execute(const membership::seed_action& action);
-    void schedule();
 
     net::event_loop* loop;
     membership_parameters own;
     platform_client* platform;
     std::mt19937_64* random;
     hooks events;
-    membership::detector detector;
     membership::seed_duty duty;
-    net::timer wakeup;
     net::timer seeds_wakeup;
-    net::datagram_socket socket;
-    membership_traffic counted{};
+    gossip_task gossip;
     bool seeds_known{false};
     int lone_reads{0};
     core::duration seeds_back_off;
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
-#include <cstdint>       // uint64_t
-#include <functional>    // function
+#include <cstddef>       // size_t
+#include <cstdint>       // uint32_t, uint64_t
+#include <functional>    // function, less
+#include <map>           // map
 #include <memory>        // shared_ptr, unique_ptr
 #include <optional>      // optional
 #include <string>        // string
@@ -19,25 +21,29 @@
 #include "poplarport/net/event_loop.hpp"
 #include "poplarport/net/timer.hpp"
 #include "poplarport/node/attempt_channel.hpp"
+#include "poplarport/node/call_protocol.hpp"
 
 namespace poplarport::node
 {
 
-/// @brief What the receiving side knows of a call.
-struct received_call
+/// @brief Limits of a receiver, from the configuration of its service or from its upstream's registration.
+struct receiver_limits
 {
-    core::request_id id;
-    std::string tenant;
-    std::string traffic_class;
-    core::time_point deadline;                      ///< the upstream must not start the request after this instant
-    std::uint32_t depth{0};                         ///< calls above this one
-    std::uint32_t attempt{1};                       ///< number of the attempt on the request's path
-    std::optional<core::duration> wait_elsewhere{}; ///< expected wait at the best peer
+    std::uint32_t slots{1};             ///< requests that the upstream runs at once
+    std::size_t queue_length{0};        ///< requests that wait at most
+    std::uint32_t connection_limit{1};  ///< connections to the upstream
+    core::duration cold_start_ramp{0};  ///< time from the start until all slots are in use
+    std::map<std::string, double, std::less<>> tenant_weights{};
+    std::map<std::string, double, std::less<>> class_weights{};
 };
 
+/// @return the limits that a service's configuration sets
+[[nodiscard]] receiver_limits to_receiver_limits(const manifest::service& rules);
+
 namespace detail
 {
 class local_channel;
+class status_check;
 } // namespace detail
 
 /// @brief The receiving side of a node: admits calls to the local upstream, queues or refuses them.
@@ -62,13 +68,19 @@
         /// Peers with an expected wait below a limit, best first.
         std::function<std::vector<core::node_id>(core::duration wait_limit)> better_peers;
         std::function<void()> on_slot_free; ///< a slot became free and nothing waits for it
+        /// The upstream reported its load, with an answer or with a status check.
+        std::function<void(const upstream_load&)> on_load;
+        std::function<void()> on_misdirected;        ///< another upstream has the address
+        std::function<void(std::error_code)> on_failure; ///< a request failed at the upstream
     };
 
     /// @param[in] loop     loop of the node
     /// @param[in] upstream address of the local upstream
-    /// @param[in] rules    rules of the service
+    /// @param[in] protocol fields for the upstream; must outlive the receiver
+    /// @param[in] limits   limits
     /// @param[in] events   hooks to the rest of the node
-    receiver(net::event_loop& loop, core::socket_address upstream, const manifest::service& rules, hooks events);
+    receiver(net::event_loop& loop, core::socket_address upstream, const call_protocol& protocol,
+             const receiver_limits& limits, hooks events);
     ~receiver();
     receiver(const receiver&) = delete;
     receiver& operator=(const receiver&) = delete;
@@ -80,8 +92,26 @@
     [[nodiscard]] std::shared_ptr<attempt_channel> start(http::request_head head, received_call call,
                                                          attempt_channel::hooks events);
 
-    /// @brief Puts the rules of a new configuration in force.
-    void apply(const manifest::service& rules);
+    /// @brief Puts new limits in force.
+    void apply(const receiver_limits& limits);
+
+    /// @brief Names the start of the upstream to which requests are addressed; empty when it has no name.
+    void set_upstream(std::string identity);
+
+    /// @brief Tells whether the upstream takes new work.
+    ///
+    /// Without it later requests are refused at once, and after 1.5 s those that still wait; running ones finish.
+    void set_accepting(bool accepting);
+
+    /// @brief Takes a load report of the upstream that came without a call.
+    void on_upstream_load(const upstream_load& load);
+
+    /// @brief Sends a status check to the upstream, on a connection of the pool.
+    /// @param[in] path    path of the check
+    /// @param[in] timeout limit for the answer
+    /// @param[in] hook    receives the head of the answer, or nothing
+    void check(const std::string& path, core::duration timeout,
+               std::function<void(const http::response_head*)> hook);
 
     /// @brief Refuses later requests, and after 1.5 s those that still wait; running ones finish.
     void drain();
@@ -103,6 +133,7 @@
 
   private:
     friend class detail::local_channel;
+    friend class detail::status_check;
 
     [[nodiscard]] core::duration redirect_limit() const;
     void act_on(const admission::changes& result);
@@ -111,6 +142,7 @@
     void schedule_expiry();
 
     net::event_loop* loop;
+    const call_protocol* protocol;
     hooks events;
     std::unique_ptr<http::client_pool> pool;
     core::socket_address upstream_address;
@@ -121,6 +153,9 @@
     net::timer drain_timer;
     std::uint64_t last_ticket{0};
     bool draining{false};
+    bool accepting{true};
+    std::string identity{};
+    std::uint32_t slowdown_percent{100};
     counters counted{};
 };
 
--- a/libs/node/include/poplarport/node/service_router.hpp
+++ b/libs/node/include/poplarport/node/service_router.hpp
@@ -30,6 +30,18 @@
     std::string cluster_key; ///< shown to peers with each call
 };
 
+/// @brief What the configuration says of the routing to a service.
+struct routing_rules
+{
+    std::uint32_t connection_limit{256};                      ///< greatest number of nodes that connect to an endpoint
+    std::uint32_t tail_weight_per_mille{500};                 ///< weight of low tail latency against measuring cost
+    core::duration zone_round_trip{std::chrono::milliseconds{2}}; ///< extra time of a call to another zone
+};
+
+/// @return the rules in a service's configuration
+/// @param[in] zone zone of the node itself
+[[nodiscard]] routing_rules to_routing_rules(const manifest::service_document& document, std::string_view zone);
+
 /// @brief Chooses endpoints of one service and opens attempts to them, over links that it owns.
 class service_router
 {
@@ -56,7 +68,7 @@
     void set_local(receiver* value) noexcept;
 
     /// @brief Puts the configuration of the service in force.
-    void apply(const manifest::service_document& document, core::version version);
+    void apply(const routing_rules& rules, core::version version);
 
     /// @brief Replaces the live members of the service.
     void set_members(const std::vector<membership::member>& members);
@@ -81,6 +93,9 @@
     /// @brief An endpoint announced free slots.
     void on_idle_hint(const core::node_id& id, std::uint32_t free_slots);
 
+    /// @brief An endpoint reported its load without a call.
+    void on_load(const core::node_id& id, const core::load_report& load);
+
     /// @return a link to a member, or nullptr when it is not a member
     [[nodiscard]] peer::link* link_to_member(const core::node_id& id);
 
@@ -118,9 +133,7 @@
     hooks events;
     receiver* local{nullptr};
     core::version config_version{0};
-    std::uint32_t connection_limit{256};
-    std::uint32_t tail_weight_per_mille{500};
-    core::duration zone_cost{std::chrono::milliseconds{1}};
+    routing_rules rules{};
     std::unique_ptr<routing::router> router;
     std::vector<membership::member> members{};
     std::map<core::node_id, routing::endpoint> endpoints{};
--- a/libs/node/src/call_driver.cpp
+++ b/libs/node/src/call_driver.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/node/call_driver.hpp"
 
-#include <algorithm> // any_of
+#include <algorithm> // ranges::any_of, ranges::find_if
 #include <utility>   // exchange, move
 #include <variant>   // visit
 
@@ -13,11 +13,11 @@
 {
 
 call_driver::call_driver(net::event_loop& owner, std::shared_ptr<http::server_exchange> received,
-                         call_description described, const attempts::call_request& request,
-                         const attempts::call_limits& limits, attempts::retry_budget& budget, std::mt19937_64& engine,
-                         hooks values)
-    : loop(&owner), exchange(std::move(received)), description(std::move(described)),
-      forwarded_request(detail::make_upstream_request(exchange->request(), exchange->caller().host)),
+                         const call_protocol& fields, call_description described,
+                         const attempts::call_request& request, const attempts::call_limits& limits,
+                         attempts::retry_budget& budget, std::mt19937_64& engine, hooks values)
+    : loop(&owner), exchange(std::move(received)), protocol(&fields), description(std::move(described)),
+      forwarded_request(fields.make_request(exchange->request(), description, exchange->caller().host)),
       call(request, limits, budget), random(&engine), events(std::move(values)), started_at(owner.now()),
       wakeup(owner, [this] { this->handle_timer(); })
 {
@@ -90,9 +90,7 @@
             {
                 if (const auto self = weak.lock())
                 {
-                    self->slot_of(id).head = std::move(head);
-                    self->report_sent(id);
-                    self->push(id, attempts::answer_head{});
+                    self->handle_answer_head(id, head);
                 }
             },
             .on_body =
@@ -108,7 +106,7 @@
             {
                 if (const auto self = weak.lock())
                 {
-                    self->push(id, attempts::answer_end{});
+                    self->handle_answer_end(id);
                 }
             },
             .on_writable =
@@ -194,13 +192,37 @@
     this->push(id, failure.event);
 }
 
+void call_driver::handle_answer_head(attempts::attempt_id id, http::response_head& head)
+{
+    auto& target = this->slot_of(id);
+    target.is_held = this->description.held_answer_bytes != 0 &&
+                     (head.framing != http::body_framing::fixed ||
+                      head.content_length <= this->description.held_answer_bytes);
+    const bool is_held = target.is_held;
+    target.head = std::move(head);
+    this->report_sent(id);
+    if (!is_held)
+    {
+        this->push(id, attempts::answer_head{});
+    }
+}
+
 void call_driver::handle_answer_body(attempts::attempt_id id, std::string_view bytes)
 {
+    const auto keep = this->shared_from_this();
+    if (this->slot_of(id).is_held)
+    {
+        this->slot_of(id).held.append(bytes);
+        if (this->slot_of(id).held.size() > this->description.held_answer_bytes)
+        {
+            this->release_held(id);
+        }
+        return;
+    }
     if (this->finished || this->call.forwarded() != id)
     {
         return;
     }
-    const auto keep = this->shared_from_this();
     this->exchange->send_body(bytes);
     if (!this->finished && this->exchange->pending_bytes() > body_buffer_bytes)
     {
@@ -208,6 +230,46 @@
     }
 }
 
+void call_driver::handle_answer_end(attempts::attempt_id id)
+{
+    constexpr int first_server_error = 500;
+    const auto keep = this->shared_from_this();
+    auto& target = this->slot_of(id);
+    if (target.is_held)
+    {
+        target.is_complete = true;
+        if (this->description.repeatable && target.head->status >= first_server_error)
+        {
+            // Another upstream may succeed; without one this answer is passed on.
+            this->push(id, attempts::unknown_reported{});
+            return;
+        }
+        this->release_held(id);
+    }
+    this->push(id, attempts::answer_end{});
+}
+
+void call_driver::release_held(attempts::attempt_id id)
+{
+    this->slot_of(id).is_held = false;
+    this->push(id, attempts::answer_head{});
+    const auto held = std::exchange(this->slot_of(id).held, {});
+    if (!this->finished && this->call.forwarded() == id)
+    {
+        this->exchange->send_body(held);
+    }
+}
+
+std::optional<attempts::attempt_id> call_driver::failed_answer() const
+{
+    const auto found = std::ranges::find_if(this->slots, &slot::is_complete);
+    if (found == this->slots.end() || !found->is_held)
+    {
+        return std::nullopt;
+    }
+    return static_cast<attempts::attempt_id>(found - this->slots.begin());
+}
+
 void call_driver::handle_timer()
 {
     const auto keep = this->shared_from_this();
@@ -305,7 +367,7 @@
 void call_driver::forward_head(attempts::attempt_id id)
 {
     auto head = std::move(*this->slot_of(id).head);
-    detail::prepare_answer(head, this->description);
+    this->protocol->prepare_answer(head, this->description);
     this->head_forwarded = true;
     this->exchange->send_head(std::move(head));
 }
@@ -326,6 +388,13 @@
             this->exchange->abort();
         }
     }
+    else if (const auto failed = this->failed_answer(); failed && !this->caller_gone)
+    {
+        auto& answer = this->slot_of(*failed);
+        result.status = answer.head->status;
+        this->protocol->prepare_answer(*answer.head, this->description);
+        http::respond(*this->exchange, std::move(*answer.head), answer.held);
+    }
     else if (!this->caller_gone)
     {
         result.status = this->answer_without_upstream(ending);
@@ -346,17 +415,20 @@
     const auto code = this->body_too_large ? std::error_code{errc::body_too_large}
                       : this->last_reason  ? this->last_reason
                                            : ending.code;
-    http::response_head head;
-    const bool timed_out = ending.code == attempts::error::timed_out || code == errc::upstream_timed_out;
-    head.status = this->body_too_large                       ? content_too_large
-                  : ending.outcome == core::outcome::not_run ? service_unavailable
-                  : timed_out                                ? gateway_timeout
-                                                             : bad_gateway;
-    head.fields.add("Content-Type", "application/json");
-    detail::add_outcome(head, ending.outcome, code, this->description.id);
-    const int status = head.status;
-    http::respond(*this->exchange, std::move(head),
-                  detail::make_error_body(ending.outcome, code, this->description.id));
+    const bool timed_out = ending.code == attempts::error::timed_out || code == errc::upstream_timed_out ||
+                           ending.stopped_by == attempts::error::deadline_passed;
+    own_answer_reason reason{ending.outcome, code, bad_gateway, std::nullopt};
+    reason.status = this->body_too_large                       ? content_too_large
+                    : ending.outcome == core::outcome::not_run ? service_unavailable
+                    : timed_out                                ? gateway_timeout
+                                                               : bad_gateway;
+    if (reason.status == service_unavailable && this->events.retry_after)
+    {
+        reason.retry_after = this->events.retry_after(this->description);
+    }
+    auto answer = this->protocol->make_answer(this->description, reason);
+    const int status = answer.head.status;
+    http::respond(*this->exchange, std::move(answer.head), answer.body);
     return status;
 }
 
--- a/libs/node/src/errors.cpp
+++ b/libs/node/src/errors.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<result::code_entry, 11> rows{{
+constexpr std::array<result::code_entry, 14> rows{{
     {1300, "no_configuration", "The node holds no configuration of the service yet.",
      "The manifest was not applied, or neither the platform nor a peer can be reached."},
     {1301, "upstream_unreachable", "The upstream does not accept connections; nothing was sent.",
@@ -30,6 +30,12 @@
      "The caller gave up or was stopped."},
     {1310, "malformed_deadline", "Poplar-Deadline-Ms is not a whole number of milliseconds above zero.",
      "Correct the field or leave it out."},
+    {1311, "upstream_not_accepting", "The upstream takes no new work; nothing was sent.",
+     "The upstream drains, has left, or has not announced itself yet."},
+    {1312, "foreign_answer", "The upstream's answer belongs to another request or to none.",
+     "The upstream sent an extra or late answer; whether the request ran is not known."},
+    {1313, "misdirected", "Another upstream has the address; it did not run the request.",
+     "The upstream ended and its address was given to another one."},
 }};
 
 } // namespace
--- a/libs/node/src/forwarding.cpp
+++ b/libs/node/src/forwarding.cpp
@@ -45,10 +45,10 @@
     return head;
 }
 
-void add_upstream_fields(http::request_head& head, const received_call& call, core::time_point now)
+void add_upstream_fields(http::request_head& head, const received_call& call, core::duration left)
 {
     // Rounded up, so that a short remainder is not sent as no time at all.
-    const auto time_left = std::chrono::ceil<std::chrono::milliseconds>(call.deadline - now);
+    const auto time_left = std::chrono::ceil<std::chrono::milliseconds>(left);
     head.fields.set("Poplar-Request-Id", call.id);
     head.fields.set("Poplar-Tenant", call.tenant);
     head.fields.set("Poplar-Class", call.traffic_class);
--- /dev/null
+++ b/libs/node/src/gossip_task.cpp
@@ -0,0 +1,166 @@
+#include "poplarport/node/gossip_task.hpp"
+
+#include <chrono>    // duration_cast, microseconds, system_clock
+#include <utility>   // move
+
+#include "poplarport/node/detail/overloaded.hpp"
+#include "poplarport/observability/log_record.hpp"
+#include "poplarport/wire/datagram.hpp"
+
+namespace poplarport::node
+{
+
+namespace
+{
+
+const char* to_string(membership::member_change change)
+{
+    switch (change)
+    {
+    case membership::member_change::joined:
+        return "member_joined";
+    case membership::member_change::updated:
+        return "member_updated";
+    case membership::member_change::suspected:
+        return "member_suspected";
+    case membership::member_change::recovered:
+        return "member_recovered";
+    case membership::member_change::failed:
+        return "member_failed";
+    case membership::member_change::left:
+        return "member_left";
+    case membership::member_change::superseded:
+        break;
+    }
+    return "superseded";
+}
+
+void log_event(const std::string& group, const membership::member_event& event)
+{
+    const bool is_routine = event.change == membership::member_change::updated;
+    observability::log_record{to_string(event.change)}
+        .with("service", event.member.service.empty() ? group : event.member.service)
+        .with("member", event.member.id)
+        .with("incarnation", static_cast<std::int64_t>(event.member.incarnation))
+        .with("revision", event.member.revision)
+        .with("draining", event.member.draining ? "true" : "false")
+        .with("accepting", event.member.accepting ? "true" : "false")
+        .write(is_routine ? observability::log_level::debug : observability::log_level::info);
+}
+
+} // namespace
+
+core::incarnation incarnation_of_this_start()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<core::incarnation>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+gossip_task::gossip_task(net::event_loop& owner, gossip_parameters parameters, std::mt19937_64& engine, hooks values)
+    : loop(&owner), own(std::move(parameters)), random(&engine), events(std::move(values)),
+      protocol(membership::detector::builder{}
+                   .service(own.group)
+                   .self(own.self)
+                   .settings(own.settings)
+                   .seeds(own.seeds)
+                   .build(owner.now(), engine)),
+      wakeup(owner,
+             [this]
+             {
+                 this->act_on(this->protocol.tick(this->loop->now(), *this->random));
+                 this->schedule();
+             }),
+      socket(owner, own.self.peer_address,
+             [this](const core::socket_address& from, std::string_view bytes) { this->handle_datagram(from, bytes); })
+{
+    this->schedule();
+}
+
+void gossip_task::update(const std::function<void(membership::detector&, core::time_point)>& change)
+{
+    change(this->protocol, this->loop->now());
+    this->schedule();
+}
+
+void gossip_task::contact(const std::vector<core::socket_address>& addresses)
+{
+    this->act_on(this->protocol.introduce(addresses));
+}
+
+void gossip_task::leave()
+{
+    this->act_on(this->protocol.leave(this->loop->now(), *this->random));
+}
+
+std::vector<membership::member> gossip_task::members() const
+{
+    return this->protocol.members();
+}
+
+void gossip_task::handle_datagram(const core::socket_address& from, std::string_view bytes)
+{
+    ++this->counted.datagrams_in;
+    this->counted.bytes_in += bytes.size();
+    std::error_code error;
+    const auto message = wire::decode(bytes, this->own.cluster_secret, error);
+    if (!message)
+    {
+        ++this->counted.refused;
+        return;
+    }
+    std::visit(
+        detail::overloaded{[&](const membership::message& value)
+                           { this->act_on(this->protocol.receive(from, value, this->loop->now(), *this->random)); },
+                           [&](const wire::idle_hint& hint)
+                           {
+                               if (this->events.on_idle_hint)
+                               {
+                                   this->events.on_idle_hint(hint.node, hint.free_slots);
+                               }
+                           },
+                           [&](const wire::load_notice& notice)
+                           {
+                               if (this->events.on_load)
+                               {
+                                   this->events.on_load(notice.node, notice.load);
+                               }
+                           }},
+        *message);
+    this->schedule();
+}
+
+void gossip_task::act_on(const membership::detector_output& output)
+{
+    for (const auto& each : output.messages)
+    {
+        this->send(each.to, wire::encode(each.message, this->own.cluster_secret));
+    }
+    for (const auto& event : output.events)
+    {
+        log_event(this->own.group, event);
+        if (event.change == membership::member_change::superseded && this->events.on_superseded)
+        {
+            this->events.on_superseded();
+        }
+    }
+    if (!output.events.empty() && this->events.on_members)
+    {
+        this->events.on_members(this->members());
+    }
+}
+
+void gossip_task::send(const core::socket_address& to, const std::string& bytes)
+{
+    if (this->socket.send(to, bytes))
+    {
+        ++this->counted.datagrams_out;
+        this->counted.bytes_out += bytes.size();
+    }
+}
+
+void gossip_task::schedule()
+{
+    this->wakeup.schedule(this->protocol.next_wakeup() - this->loop->now());
+}
+
+} // namespace poplarport::node
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -43,7 +43,7 @@
     ++this->owner->counted.dispatched;
     this->current = state::dispatched;
     this->dispatched_at = now;
-    add_upstream_fields(this->head, this->call, now);
+    this->owner->protocol->address_request(this->head, this->call, this->owner->identity, this->call.deadline - now);
     this->connection->start(this->head, this->connection_hooks());
     this->connection->send_body(std::exchange(this->buffered, {}));
     if (this->request_finished)
@@ -73,7 +73,7 @@
                 [this](std::string_view bytes)
             {
                 const auto running = this->events;
-                if (!this->is_shed && running->on_body)
+                if (!this->refused_by && running->on_body)
                 {
                     running->on_body(bytes);
                 }
@@ -97,13 +97,29 @@
 
 void local_channel::handle_head(http::response_head& answer)
 {
-    constexpr int service_unavailable = 503;
-    const auto* const not_run = answer.fields.find("Poplar-Not-Run");
-    if (answer.status == service_unavailable && not_run != nullptr && *not_run == "true")
+    const auto verdict = this->owner->protocol->judge_answer(answer, this->head);
+    if (verdict.load)
     {
-        this->is_shed = true;
+        this->owner->on_upstream_load(*verdict.load);
+    }
+    switch (verdict.kind)
+    {
+    case answer_kind::not_run:
+        this->refused_by = errc::upstream_shed;
+        return;
+    case answer_kind::misdirected:
+        this->refused_by = errc::misdirected;
+        return;
+    case answer_kind::foreign:
+    {
+        const auto keep = this->shared_from_this();
+        this->close_connection(false);
+        this->fail(attempts::unknown_reported{}, errc::foreign_answer);
         return;
     }
+    case answer_kind::own:
+        break;
+    }
     this->current = state::answering;
     const auto running = this->events;
     if (running->on_head)
@@ -115,12 +131,16 @@
 void local_channel::handle_end()
 {
     const auto keep = this->shared_from_this();
-    if (this->is_shed)
+    if (this->refused_by)
     {
         this->close_connection(true);
+        if (this->refused_by == errc::misdirected && this->owner->events.on_misdirected)
+        {
+            this->owner->events.on_misdirected();
+        }
         this->fail(attempts::refused{attempts::refusal_proof::upstream_shed,
                                      this->owner->events.better_peers(core::duration::max())},
-                   errc::upstream_shed);
+                   this->refused_by);
         return;
     }
     this->current = state::ended;
@@ -185,6 +205,10 @@
     this->current = state::ended;
     this->deadline_timer.cancel();
     ++this->owner->counted.failed;
+    if (reason.category() == category() && reason != errc::upstream_not_accepting && this->owner->events.on_failure)
+    {
+        this->owner->events.on_failure(reason);
+    }
     this->owner->end(this->ticket, std::nullopt);
     const auto running = std::exchange(this->events, std::make_shared<hooks>());
     if (running->on_failed)
--- a/libs/node/src/membership_task.cpp
+++ b/libs/node/src/membership_task.cpp
@@ -24,12 +24,6 @@
 // With the back-off this is about three seconds, in which a live seed answers several times.
 constexpr int lone_reads_before_rewrite = 4;
 
-core::incarnation incarnation_of_this_start()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<core::incarnation>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 membership::wall_time wall_now()
 {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
@@ -59,47 +53,22 @@
     return "seeds/" + service;
 }
 
-const char* to_string(membership::member_change change)
-{
-    switch (change)
-    {
-    case membership::member_change::joined:
-        return "member_joined";
-    case membership::member_change::updated:
-        return "member_updated";
-    case membership::member_change::suspected:
-        return "member_suspected";
-    case membership::member_change::recovered:
-        return "member_recovered";
-    case membership::member_change::failed:
-        return "member_failed";
-    case membership::member_change::left:
-        return "member_left";
-    case membership::member_change::superseded:
-        break;
-    }
-    return "superseded";
-}
-
 } // namespace
 
 membership_task::membership_task(net::event_loop& owner, const node_identity& identity,
                                  membership_parameters parameters, platform_client& client, std::mt19937_64& engine,
                                  hooks values)
     : loop(&owner), own(std::move(parameters)), platform(&client), random(&engine), events(std::move(values)),
-      detector(membership::detector::builder{}
-                   .service(own.service)
-                   .self(make_member(identity, own))
-                   .settings(detector_settings())
-                   .seeds(own.seeds)
-                   .build(owner.now(), engine)),
-      duty(own.service, identity.id, {}, owner.now(), engine), wakeup(owner, [this] { this->tick(); }),
+      duty(own.service, identity.id, {}, owner.now(), engine),
       seeds_wakeup(owner, [this] { this->keep_seeds(); }),
-      socket(owner, own.peers,
-             [this](const core::socket_address& from, std::string_view bytes) { this->handle_datagram(from, bytes); }),
+      gossip(owner,
+             {own.service, make_member(identity, own), own.cluster_secret, detector_settings(), own.seeds}, engine,
+             {.on_members = [this](const auto& members) { this->handle_members(members); },
+              .on_idle_hint = this->events.on_idle_hint,
+              .on_load = {},
+              .on_superseded = this->events.on_superseded}),
       seeds_back_off(first_seeds_back_off)
 {
-    this->schedule();
     this->read_seeds_at_start();
 }
 
@@ -110,110 +79,51 @@
 
 void membership_task::drain()
 {
-    this->detector.drain(this->loop->now());
+    this->gossip.update([](membership::detector& detector, core::time_point now) { detector.drain(now); });
     this->events.on_members(this->members());
-    this->schedule();
 }
 
 void membership_task::leave()
 {
-    this->act_on(this->detector.leave(this->loop->now(), *this->random));
+    this->gossip.leave();
 }
 
 void membership_task::set_configuration_version(core::version version)
 {
-    this->detector.set_configuration_version(version, this->loop->now());
-    this->schedule();
+    this->gossip.update([version](membership::detector& detector, core::time_point now)
+                        { detector.set_configuration_version(version, now); });
 }
 
 std::size_t membership_task::idle_hint_bytes(std::uint32_t free_slots) const
 {
     constexpr std::size_t ip_and_udp_header_bytes = 28;
     return ip_and_udp_header_bytes +
-           wire::encode(wire::idle_hint{this->detector.self().id, free_slots}, this->own.cluster_secret).size();
+           wire::encode(wire::idle_hint{this->gossip.detector().self().id, free_slots}, this->own.cluster_secret).size();
 }
 
 std::size_t membership_task::send_idle_hint(const core::socket_address& to, std::uint32_t free_slots)
 {
-    const auto bytes = wire::encode(wire::idle_hint{this->detector.self().id, free_slots}, this->own.cluster_secret);
-    this->send(to, bytes);
+    const auto bytes = wire::encode(wire::idle_hint{this->gossip.detector().self().id, free_slots}, this->own.cluster_secret);
+    this->gossip.send(to, bytes);
     return bytes.size();
 }
 
 std::vector<membership::member> membership_task::members() const
 {
-    return this->detector.members();
+    return this->gossip.members();
 }
 
 peer_document membership_task::answer_pull(std::uint64_t known_hash) const
 {
     constexpr int ok = 200;
-    return {ok, "application/cbor", wire::encode(this->detector.list(known_hash, this->loop->now()))};
-}
-
-void membership_task::handle_datagram(const core::socket_address& from, std::string_view bytes)
-{
-    ++this->counted.datagrams_in;
-    this->counted.bytes_in += bytes.size();
-    std::error_code error;
-    const auto message = wire::decode(bytes, this->own.cluster_secret, error);
-    if (!message)
-    {
-        ++this->counted.refused;
-        return;
-    }
-    std::visit(
-        detail::overloaded{[&](const membership::message& value)
-                           { this->act_on(this->detector.receive(from, value, this->loop->now(), *this->random)); },
-                           [&](const wire::idle_hint& hint)
-                           {
-                               this->events.on_idle_hint(hint.node, hint.free_slots);
-                           }},
-        *message);
-    this->schedule();
+    return {ok, "application/cbor", wire::encode(this->gossip.detector().list(known_hash, this->loop->now()))};
 }
 
-void membership_task::tick()
+void membership_task::handle_members(const std::vector<membership::member>& live)
 {
-    this->act_on(this->detector.tick(this->loop->now(), *this->random));
-    this->schedule();
-}
-
-void membership_task::act_on(const membership::detector_output& output)
-{
-    for (const auto& each : output.messages)
-    {
-        this->send(each.to, wire::encode(each.message, this->own.cluster_secret));
-    }
-    for (const auto& event : output.events)
-    {
-        const bool is_routine = event.change == membership::member_change::updated;
-        observability::log_record{to_string(event.change)}
-            .with("service", this->own.service)
-            .with("member", event.member.id)
-            .with("draining", event.member.draining ? "true" : "false")
-            .write(is_routine ? observability::log_level::debug : observability::log_level::info);
-        if (event.change == membership::member_change::superseded)
-        {
-            this->events.on_superseded();
-        }
-    }
-    if (!output.events.empty())
-    {
-        const auto live = this->members();
-        this->events.on_members(live);
-        this->duty.on_members(live, this->loop->now(), *this->random);
-        this->schedule_seeds();
-    }
-}
-
-void membership_task::send(const core::socket_address& to, const std::string& bytes)
-{
-    if (this->socket.send(to, bytes))
-    {
-        ++this->counted.datagrams_out;
-        this->counted.bytes_out += bytes.size();
-    }
+    this->events.on_members(live);
+    this->duty.on_members(live, this->loop->now(), *this->random);
+    this->schedule_seeds();
 }
 
 void membership_task::read_seeds_at_start()
@@ -235,8 +145,8 @@
     {
         auto addresses = membership::addresses_of(*document);
         std::ranges::copy(this->own.seeds, std::back_inserter(addresses));
-        this->detector.set_seeds(std::move(addresses));
-        this->schedule();
+        this->gossip.update([&addresses](membership::detector& detector, core::time_point)
+                            { detector.set_seeds(std::move(addresses)); });
     }
     this->seeds_known = result.answered;
     const bool is_alone = this->members().size() <= 1;
@@ -320,7 +230,7 @@
     const auto document = result.value ? detail::decode_seeds(*result.value) : std::nullopt;
     if (document)
     {
-        this->act_on(this->detector.introduce(membership::addresses_of(*document)));
+        this->gossip.contact(membership::addresses_of(*document));
     }
     if (const auto next = this->duty.on_read(document, result.version, this->members(), wall_now()))
     {
@@ -339,9 +249,4 @@
     this->duty.on_done();
 }
 
-void membership_task::schedule()
-{
-    this->wakeup.schedule(this->detector.next_wakeup() - this->loop->now());
-}
-
 } // namespace poplarport::node
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -169,7 +169,7 @@
     }
     if (auto* const router = this->router_of(document->rules.name))
     {
-        router->apply(*document, version);
+        router->apply(to_routing_rules(*document, this->identity.availability_zone), version);
     }
 }
 
@@ -193,7 +193,7 @@
     allowance.window = std::chrono::seconds{1};
     allowance.burst = std::chrono::milliseconds{200};
     this->measuring_budget.set_limit(allowance, this->loop->now());
-    this->own_router->apply(document, version);
+    this->own_router->apply(to_routing_rules(document, this->identity.availability_zone), version);
     if (!this->receiving)
     {
         receiver::hooks hooks;
@@ -206,7 +206,8 @@
             this->on_slot_free();
         };
         this->configured_at = this->loop->now();
-        this->receiving = std::make_unique<receiver>(*this->loop, this->settings.upstream, rules, std::move(hooks));
+        this->receiving = std::make_unique<receiver>(*this->loop, this->settings.upstream, this->protocol,
+                                                     to_receiver_limits(rules), std::move(hooks));
         this->own_router->set_local(this->receiving.get());
         this->peers->set_receiver(this->receiving.get());
         if (this->draining)
@@ -216,7 +217,7 @@
     }
     else
     {
-        this->receiving->apply(rules);
+        this->receiving->apply(to_receiver_limits(rules));
     }
     this->membership->set_configuration_version(version);
     this->follow_called_services(rules);
--- a/libs/node/src/peer_listener.cpp
+++ b/libs/node/src/peer_listener.cpp
@@ -122,6 +122,10 @@
     {
         received.wait_elsewhere = this->events.wait_elsewhere();
     }
+    if (this->events.on_caller)
+    {
+        this->events.on_caller(call->caller());
+    }
     if (received.deadline <= this->loop->now())
     {
         this->refuse(*call, admission::errors::deadline_passed);
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -5,6 +5,7 @@
 #include <utility>   // move
 
 #include "poplarport/node/detail/local_channel.hpp"
+#include "poplarport/node/detail/status_check.hpp"
 #include "poplarport/node/errors.hpp"
 
 namespace poplarport::node
@@ -20,21 +21,9 @@
 // Queued requests are checked at least this often, so that one whose deadline cannot be met is refused early.
 constexpr std::chrono::milliseconds expiry_interval{10};
 
-admission::limits to_limits(const manifest::service& rules)
+admission::limits to_gate_limits(const receiver_limits& values)
 {
-    admission::limits value;
-    value.slots = std::max(rules.upstream.slots, 1U);
-    value.queue_capacity = rules.upstream.queue_length;
-    for (const auto& tenant : rules.tenants)
-    {
-        value.tenant_weights.insert_or_assign(tenant.tenant, static_cast<double>(std::max(tenant.share_weight, 1U)));
-    }
-    for (const auto& traffic_class : rules.classes)
-    {
-        value.class_weights.insert_or_assign(traffic_class.name,
-                                             static_cast<double>(std::max(traffic_class.weight, 1U)));
-    }
-    return value;
+    return {std::max(values.slots, 1U), values.queue_length, values.tenant_weights, values.class_weights};
 }
 
 std::unique_ptr<http::client_pool> make_pool(net::event_loop& loop, const core::socket_address& address,
@@ -47,14 +36,34 @@
 
 } // namespace
 
-receiver::receiver(net::event_loop& owner, core::socket_address upstream, const manifest::service& rules, hooks values)
-    : loop(&owner), events(std::move(values)), pool(make_pool(owner, upstream, rules.upstream.connection_limit)),
-      upstream_address(std::move(upstream)), connection_limit(rules.upstream.connection_limit),
-      gate(admission::gate::builder{}
-               .slots(std::max(rules.upstream.slots, 1U))
-               .queue_capacity(rules.upstream.queue_length)
-               .cold_start_ramp(rules.upstream.cold_start_ramp)
-               .build(owner.now())),
+receiver_limits to_receiver_limits(const manifest::service& rules)
+{
+    receiver_limits values;
+    values.slots = std::max(rules.upstream.slots, 1U);
+    values.queue_length = rules.upstream.queue_length;
+    values.connection_limit = rules.upstream.connection_limit;
+    values.cold_start_ramp = rules.upstream.cold_start_ramp;
+    for (const auto& tenant : rules.tenants)
+    {
+        values.tenant_weights.insert_or_assign(tenant.tenant, static_cast<double>(std::max(tenant.share_weight, 1U)));
+    }
+    for (const auto& traffic_class : rules.classes)
+    {
+        values.class_weights.insert_or_assign(traffic_class.name,
+                                              static_cast<double>(std::max(traffic_class.weight, 1U)));
+    }
+    return values;
+}
+
+receiver::receiver(net::event_loop& owner, core::socket_address upstream, const call_protocol& fields,
+                   const receiver_limits& limits, hooks values)
+    : loop(&owner), protocol(&fields), events(std::move(values)),
+      pool(make_pool(owner, upstream, limits.connection_limit)), upstream_address(std::move(upstream)),
+      connection_limit(limits.connection_limit), gate(admission::gate::builder{}
+                                                          .slots(std::max(limits.slots, 1U))
+                                                          .queue_capacity(limits.queue_length)
+                                                          .cold_start_ramp(limits.cold_start_ramp)
+                                                          .build(owner.now())),
       expiry_timer(owner,
                    [this]
                    {
@@ -70,7 +79,7 @@
                       }
                   })
 {
-    this->act_on(this->gate.set_limits(to_limits(rules), owner.now()));
+    this->act_on(this->gate.set_limits(to_gate_limits(limits), owner.now()));
 }
 
 receiver::~receiver() = default;
@@ -83,6 +92,11 @@
     auto channel =
         std::make_shared<detail::local_channel>(*this, ticket, std::move(head), std::move(call), std::move(values));
     this->channels.emplace(ticket, channel);
+    if (!this->accepting)
+    {
+        this->loop->post([this, ticket] { this->refuse(ticket, errc::upstream_not_accepting); });
+        return channel;
+    }
     const auto decision = this->gate.offer(offered, this->loop->now());
     if (decision.displaced)
     {
@@ -106,14 +120,51 @@
     return channel;
 }
 
-void receiver::apply(const manifest::service& rules)
+void receiver::apply(const receiver_limits& limits)
 {
-    if (rules.upstream.connection_limit != this->connection_limit)
+    if (limits.connection_limit != this->connection_limit)
     {
-        this->connection_limit = rules.upstream.connection_limit;
+        this->connection_limit = limits.connection_limit;
         this->pool->set_connection_limit(this->connection_limit);
     }
-    this->act_on(this->gate.set_limits(to_limits(rules), this->loop->now()));
+    this->act_on(this->gate.set_limits(to_gate_limits(limits), this->loop->now()));
+}
+
+void receiver::set_upstream(std::string value)
+{
+    this->identity = std::move(value);
+}
+
+void receiver::set_accepting(bool value)
+{
+    if (this->accepting == value)
+    {
+        return;
+    }
+    this->accepting = value;
+    if (!value)
+    {
+        this->drain_timer.schedule(queue_drain_time);
+    }
+    else if (!this->draining)
+    {
+        this->drain_timer.cancel();
+    }
+}
+
+void receiver::on_upstream_load(const upstream_load& load)
+{
+    this->slowdown_percent = std::max(load.slowdown_percent, 1U);
+    if (this->events.on_load)
+    {
+        this->events.on_load(load);
+    }
+}
+
+void receiver::check(const std::string& path, core::duration timeout,
+                     std::function<void(const http::response_head*)> hook)
+{
+    std::make_shared<detail::status_check>(*this, std::move(hook))->start(path, timeout);
 }
 
 void receiver::drain()
@@ -126,7 +177,8 @@
 core::load_report receiver::load() const
 {
     auto report = this->gate.load(this->loop->now());
-    report.draining = this->draining;
+    report.draining = this->draining || !this->accepting;
+    report.slowdown_percent = this->slowdown_percent;
     return report;
 }
 
@@ -134,7 +186,7 @@
 // alike, each refusal would otherwise cost a second one at a peer.
 core::duration receiver::redirect_limit() const
 {
-    if (this->draining)
+    if (this->draining || !this->accepting)
     {
         return core::duration::max();
     }
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -102,23 +102,25 @@
     this->local = value;
 }
 
-void service_router::apply(const manifest::service_document& document, core::version version)
+routing_rules to_routing_rules(const manifest::service_document& document, std::string_view zone)
 {
-    const auto& rules = document.rules;
-    this->config_version = version;
-    this->connection_limit = rules.upstream.connection_limit;
     core::duration greatest_cost{0};
     for (const auto& cost : document.zone_costs)
     {
-        const bool concerns_self =
-            cost.from == this->identity->availability_zone || cost.to == this->identity->availability_zone;
-        greatest_cost = concerns_self ? std::max<core::duration>(greatest_cost, cost.cost) : greatest_cost;
+        const bool concerns_zone = cost.from == zone || cost.to == zone;
+        greatest_cost = concerns_zone ? std::max<core::duration>(greatest_cost, cost.cost) : greatest_cost;
     }
-    const auto round_trip = greatest_cost * 2;
-    if (round_trip != this->zone_cost || rules.tail_latency_weight_per_mille != this->tail_weight_per_mille)
+    return {document.rules.upstream.connection_limit, document.rules.tail_latency_weight_per_mille, greatest_cost * 2};
+}
+
+void service_router::apply(const routing_rules& value, core::version version)
+{
+    this->config_version = version;
+    const bool changes_router = value.zone_round_trip != this->rules.zone_round_trip ||
+                                value.tail_weight_per_mille != this->rules.tail_weight_per_mille;
+    this->rules = value;
+    if (changes_router)
     {
-        this->zone_cost = round_trip;
-        this->tail_weight_per_mille = rules.tail_latency_weight_per_mille;
         this->rebuild_router();
     }
     this->update_endpoints();
@@ -133,10 +135,10 @@
 void service_router::rebuild_router()
 {
     constexpr double per_mille = 1000.0;
-    const double tail_weight = static_cast<double>(this->tail_weight_per_mille) / per_mille;
+    const double tail_weight = static_cast<double>(this->rules.tail_weight_per_mille) / per_mille;
     this->router = std::make_unique<routing::router>(routing::router::builder{}
                                                          .availability_zone(this->identity->availability_zone)
-                                                         .zone_cost(this->zone_cost)
+                                                         .zone_cost(this->rules.zone_round_trip)
                                                          .weights(tail_weight, 1.0 - tail_weight)
                                                          .build());
 }
@@ -150,7 +152,7 @@
     }
     // Every member of a service may be an entry node, so each endpoint is in the subsets of about as many nodes as
     // the service has members.
-    const auto size = routing::subset_size(all.size(), all.size(), this->connection_limit);
+    const auto size = routing::subset_size(all.size(), all.size(), this->rules.connection_limit);
     std::map<core::node_id, routing::endpoint> chosen;
     for (const auto position : routing::subset(this->identity->id, all, size))
     {
@@ -354,6 +356,11 @@
     this->router->on_idle_hint(id, free_slots, this->loop->now());
 }
 
+void service_router::on_load(const core::node_id& id, const core::load_report& load)
+{
+    this->router->on_report(id, load, this->loop->now());
+}
+
 peer::link* service_router::link_to_member(const core::node_id& id)
 {
     const auto position = std::ranges::find(this->members, id, &membership::member::id);
--- a/libs/observability/include/poplarport/observability/log_record.hpp
+++ b/libs/observability/include/poplarport/observability/log_record.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint>     // int64_t
+#include <cstdint>     // int64_t, uint64_t
 #include <memory>      // unique_ptr
 #include <string>      // string
 #include <string_view> // string_view
@@ -17,15 +17,29 @@
     error
 };
 
-/// @brief Sets up the log of the process: one JSON record a line on standard error.
-/// @param[in] least records below this level are dropped
-void configure_log(log_level least);
+/// @brief Where the log of the process goes.
+enum class log_target
+{
+    standard_error,
+    standard_output
+};
+
+/// @brief Sets up the log of the process: one JSON record a line.
+///
+/// A line that the reader of the log does not take at once is dropped and counted.
+/// @param[in] least  records below this level are dropped
+/// @param[in] target where the lines go
+void configure_log(log_level least, log_target target = log_target::standard_error);
+
+/// @return records that were not written since the start, because there were too many or the reader was too slow
+[[nodiscard]] std::uint64_t dropped_records() noexcept;
 
 /// @return the level of a name (debug, info, warning, error); info for any other text
 [[nodiscard]] log_level log_level_from_string(std::string_view name) noexcept;
 
-/// @brief One structured log record; written where a state changes, never for each request.
+/// @brief One structured log record.
 ///
+/// Records of state changes use write(), records of single requests write_limited().
 /// Fields must not hold secrets: no credential, no header field of a caller.
 class log_record
 {
@@ -45,6 +59,11 @@
     /// @brief Writes the record.
     void write(log_level level) const;
 
+    /// @brief Writes the record unless too many were written within the last second.
+    ///
+    /// For records that are written for each request; the number of those that were left out is counted.
+    void write_limited(log_level level) const;
+
     /// @return the record as JSON, without time and level
     [[nodiscard]] std::string text() const;
 
--- a/libs/observability/src/log_record.cpp
+++ b/libs/observability/src/log_record.cpp
@@ -1,14 +1,16 @@
 #include "poplarport/observability/log_record.hpp"
 
 #include <array>  // array
-#include <chrono> // system_clock
+#include <chrono> // steady_clock, system_clock
 #include <ctime>  // gmtime_r, strftime
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace poplarport::observability
 {
@@ -54,6 +56,61 @@
     return std::string{text.data(), length} + "." + fraction + "Z";
 }
 
+// Records of single requests within a second; beyond them a busy node would spend its processor time on its log.
+constexpr std::uint32_t limited_records_per_second = 400;
+
+std::uint64_t dropped{0};
+
+/// Writes each line with one call, and drops it when the descriptor's reader is too slow.
+class descriptor_appender final : public log4cplus::Appender
+{
+  public:
+    explicit descriptor_appender(int opened) : descriptor(opened)
+    {
+    }
+
+    ~descriptor_appender() override
+    {
+        this->destructorImpl();
+    }
+
+    descriptor_appender(const descriptor_appender&) = delete;
+    descriptor_appender& operator=(const descriptor_appender&) = delete;
+
+    void close() override
+    {
+        this->closed = true;
+    }
+
+  protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        const auto& line = this->formatEvent(event);
+        pollfd state{this->descriptor, POLLOUT, 0};
+        const bool is_writable = ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+        if (!is_writable || ::write(this->descriptor, line.data(), line.size()) < 0)
+        {
+            ++dropped;
+        }
+    }
+
+  private:
+    int descriptor;
+};
+
+bool take_from_limit()
+{
+    static std::chrono::steady_clock::time_point window_start{};
+    static std::uint32_t written = 0;
+    const auto now = std::chrono::steady_clock::now();
+    if (now - window_start >= std::chrono::seconds{1})
+    {
+        window_start = now;
+        written = 0;
+    }
+    return ++written <= limited_records_per_second;
+}
+
 } // namespace
 
 struct log_record::state
@@ -61,12 +118,16 @@
     nlohmann::ordered_json fields;
 };
 
-void configure_log(log_level least)
+std::uint64_t dropped_records() noexcept
+{
+    return dropped;
+}
+
+void configure_log(log_level least, log_target target)
 {
     log4cplus::initialize();
-    const bool log_to_standard_error = true;
-    const bool immediate_flush = true;
-    log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender(log_to_standard_error, immediate_flush)};
+    const int descriptor = target == log_target::standard_output ? STDOUT_FILENO : STDERR_FILENO;
+    log4cplus::SharedAppenderPtr appender{new descriptor_appender(descriptor)};
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
     auto logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(logger_name));
     logger.removeAllAppenders();
@@ -112,14 +173,28 @@
     return this->data->fields.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+void log_record::write_limited(log_level level) const
+{
+    if (!take_from_limit())
+    {
+        ++dropped;
+        return;
+    }
+    this->write(level);
+}
+
 void log_record::write(log_level level) const
 {
+    auto logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(logger_name));
+    if (!logger.isEnabledFor(to_library_level(level)))
+    {
+        return;
+    }
     nlohmann::ordered_json record;
     record["time"] = utc_time();
     record["level"] = to_string(level);
     record.update(this->data->fields);
     const auto line = record.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
-    auto logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(logger_name));
     logger.log(to_library_level(level), line);
 }
 
--- a/libs/peer/src/answer_metadata.cpp
+++ b/libs/peer/src/answer_metadata.cpp
@@ -32,14 +32,15 @@
 std::string encode_load(const core::load_report& load)
 {
     return std::to_string(load.slots) + "," + std::to_string(load.in_flight) + "," + std::to_string(load.queued) + "," +
-           std::to_string(load.service_time.count()) + (load.draining ? ",1" : ",0");
+           std::to_string(load.service_time.count()) + (load.draining ? ",1," : ",0,") +
+           std::to_string(load.slowdown_percent);
 }
 
 core::load_report decode_load(detail::field_reader& reader)
 {
     constexpr auto field = detail::field_name::load;
-    constexpr std::array<std::uint64_t, 5> bounds{greatest_count, greatest_count, greatest_count,
-                                                  longest_service_time_us, 1};
+    constexpr std::array<std::uint64_t, 6> bounds{greatest_count, greatest_count, greatest_count,
+                                                  longest_service_time_us, 1, greatest_count};
     std::string_view list = reader.text(field);
     if (std::ranges::count(list, ',') != static_cast<std::ptrdiff_t>(bounds.size()) - 1)
     {
@@ -55,7 +56,8 @@
             .in_flight = static_cast<std::uint32_t>(parts[1]),
             .queued = static_cast<std::uint32_t>(parts[2]),
             .service_time = std::chrono::microseconds{static_cast<std::int64_t>(parts[3])},
-            .draining = parts[4] == 1};
+            .draining = parts[4] == 1,
+            .slowdown_percent = static_cast<std::uint32_t>(parts[5])};
 }
 
 std::vector<core::node_id> decode_better(detail::field_reader& reader)
--- /dev/null
+++ b/libs/registration/src/registry.cpp
@@ -0,0 +1,157 @@
+#include "poplarport/registration/registry.hpp"
+
+#include <algorithm> // ranges::find
+#include <utility>   // move
+
+namespace poplarport::registration
+{
+
+namespace
+{
+
+// Starts that are remembered as over; a late announcement is delayed by seconds, and starts are seconds apart.
+constexpr std::size_t remembered_starts = 32;
+
+} // namespace
+
+std::string to_string(const upstream_start& start)
+{
+    return start.id + "@" + std::to_string(start.born_ms);
+}
+
+registry::registry(std::string service_name, std::string own_address)
+    : service(std::move(service_name)), address(std::move(own_address))
+{
+}
+
+std::error_code registry::announce(const announcement& value, core::time_point now)
+{
+    if (const auto error = this->check(value))
+    {
+        return error;
+    }
+    // A start that was adopted by a status check is known by its id alone.
+    if (this->upstream.start.born_ms == 0 && this->upstream.start.id == value.start.id)
+    {
+        this->upstream.start.born_ms = value.start.born_ms;
+    }
+    if (value.start != this->upstream.start)
+    {
+        this->end_current();
+        this->begin(value);
+    }
+    else if (value.sequence <= this->upstream.sequence)
+    {
+        return errc::outdated;
+    }
+    this->upstream.sequence = value.sequence;
+    this->upstream.heard_at = now;
+    this->upstream.cold_until = now + value.cold_remaining;
+    this->upstream.slots = value.slots;
+    const bool has_departed = to_string(value.start) == this->last_departed;
+    if (value.draining || has_departed)
+    {
+        this->last_departed = to_string(value.start);
+        this->upstream.state =
+            this->upstream.state == upstream_state::left ? upstream_state::left : upstream_state::draining;
+    }
+    else if (this->upstream.state == upstream_state::unknown)
+    {
+        this->upstream.state = upstream_state::ready;
+    }
+    return {};
+}
+
+std::error_code registry::leave(const upstream_start& start, core::time_point now)
+{
+    const bool is_current = start.id == this->upstream.start.id &&
+                            (start.born_ms == this->upstream.start.born_ms || this->upstream.start.born_ms == 0);
+    const bool is_unknown = this->upstream.state == upstream_state::unknown && this->upstream.start.id.empty();
+    if (!is_current && !is_unknown)
+    {
+        return errc::outdated;
+    }
+    this->upstream.start = start;
+    this->upstream.state = upstream_state::left;
+    this->upstream.heard_at = now;
+    this->last_departed = to_string(start);
+    return {};
+}
+
+void registry::remember_departed(const std::string& start)
+{
+    if (!this->last_departed.empty() || start.empty())
+    {
+        return;
+    }
+    this->last_departed = start;
+    const bool by_id = this->upstream.start.born_ms == 0 && start.starts_with(this->upstream.start.id + "@");
+    if (this->upstream.state == upstream_state::ready && (by_id || to_string(this->upstream.start) == start))
+    {
+        this->upstream.state = upstream_state::draining;
+    }
+}
+
+bool registry::adopt(const std::string& id, std::uint32_t slots, core::time_point now)
+{
+    if (this->upstream.state != upstream_state::unknown || id.empty() || this->last_departed.starts_with(id + "@"))
+    {
+        return false;
+    }
+    this->upstream.start = {id, 0};
+    this->upstream.state = upstream_state::ready;
+    this->upstream.slots = slots;
+    this->upstream.heard_at = now;
+    return true;
+}
+
+std::error_code registry::check(const announcement& value) const
+{
+    if (value.start.id.empty() || value.slots == 0)
+    {
+        return errc::malformed;
+    }
+    if (value.service != this->service)
+    {
+        return errc::other_service;
+    }
+    if (value.address != this->address)
+    {
+        return errc::other_address;
+    }
+    if (this->is_over(value.start))
+    {
+        return errc::outdated;
+    }
+    // The same id with an earlier time of start is a delayed word of an earlier start.
+    const bool is_earlier =
+        value.start.id == this->upstream.start.id && value.start.born_ms < this->upstream.start.born_ms;
+    return is_earlier ? std::error_code{errc::outdated} : std::error_code{};
+}
+
+bool registry::is_over(const upstream_start& start) const
+{
+    return std::ranges::find(this->ended, start) != this->ended.end();
+}
+
+void registry::begin(const announcement& value)
+{
+    this->upstream = {};
+    this->upstream.start = value.start;
+    this->upstream.sequence = 0;
+}
+
+void registry::end_current()
+{
+    if (this->upstream.start.id.empty())
+    {
+        return;
+    }
+    this->ended.push_back(this->upstream.start);
+    if (this->ended.size() > remembered_starts)
+    {
+        this->ended.pop_front();
+    }
+}
+
+} // namespace poplarport::registration
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -368,7 +368,9 @@
 double router::service_time_of(const state& value) const noexcept
 {
     const core::duration reported = value.report.service_time;
-    return in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
+    constexpr double usual_percent = 100.0;
+    const auto usual = in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
+    return usual * static_cast<double>(value.report.slowdown_percent) / usual_percent;
 }
 
 // The calls that made up a load have mostly ended after one service time, so what is known of it fades at that rate.
--- a/libs/settings/include/poplarport/settings/rules.hpp
+++ b/libs/settings/include/poplarport/settings/rules.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>      // milliseconds
 #include <functional>  // function
 #include <optional>    // optional
 #include <string>      // string
@@ -17,6 +18,9 @@
     std::optional<T> fallback{}; ///< value of an absent key; without it the key is required
 };
 
+/// @return the time in a text of a number and its unit, `ms` or `s`; nothing for any other text
+[[nodiscard]] std::optional<std::chrono::milliseconds> parse_duration(std::string_view text);
+
 /// @brief Rule for a text.
 struct text_rule
 {
--- a/libs/settings/include/poplarport/settings/table.hpp
+++ b/libs/settings/include/poplarport/settings/table.hpp
@@ -49,6 +49,10 @@
     [[nodiscard]] std::chrono::microseconds microseconds(std::string_view key,
                                                          const range<std::chrono::microseconds>& limits) const;
 
+    /// @brief Reads a duration that is written as a text of a number and its unit, `ms` or `s`, for example `1.5s`.
+    [[nodiscard]] std::chrono::milliseconds duration(std::string_view key,
+                                                     const range<std::chrono::milliseconds>& limits) const;
+
     /// @brief Reads a size in bytes.
     /// @param[in] key    key, which ends with `_bytes`
     /// @param[in] limits bounds
--- a/libs/settings/src/table.cpp
+++ b/libs/settings/src/table.cpp
@@ -168,6 +168,24 @@
     return std::chrono::microseconds{count};
 }
 
+std::chrono::milliseconds table::duration(std::string_view key, const range<std::chrono::milliseconds>& limits) const
+{
+    if (limits.fallback && !this->contains(key))
+    {
+        return *limits.fallback;
+    }
+    const auto allowed = "a time from " + std::to_string(limits.least.count()) + "ms to " +
+                         std::to_string(limits.greatest.count()) + "ms, for example 1.5s";
+    const text_rule rule{allowed,
+                         [&limits](std::string_view text)
+                         {
+                             const auto value = parse_duration(text);
+                             return value && *value >= limits.least && *value <= limits.greatest;
+                         },
+                         {}};
+    return parse_duration(this->text(key, rule)).value_or(limits.least);
+}
+
 std::uint64_t table::bytes(std::string_view key, const range<std::uint64_t>& limits) const
 {
     assert(key.ends_with("_bytes") || key.find("bytes_per_") != std::string_view::npos);
--- a/libs/wire/src/member_codec.cpp
+++ b/libs/wire/src/member_codec.cpp
@@ -24,7 +24,7 @@
 
 nlohmann::json encode_member(const membership::member& member)
 {
-    return {{"i", member.id},
+    nlohmann::json value{{"i", member.id},
             {"n", member.incarnation},
             {"r", member.revision},
             {"z", member.availability_zone},
@@ -33,6 +33,16 @@
             {"s", static_cast<std::uint64_t>(member.state)},
             {"d", member.draining},
             {"v", member.configuration_version}};
+    if (!member.service.empty())
+    {
+        value["u"] = member.service;
+        value["a"] = member.accepting;
+    }
+    if (!member.departed.empty())
+    {
+        value["l"] = member.departed;
+    }
+    return value;
 }
 
 membership::member decode_member(const nlohmann::json& value, std::error_code& error)
@@ -48,6 +58,15 @@
     member.state = static_cast<membership::member_state>(reader.number("s", greatest_state));
     member.draining = reader.boolean("d");
     member.configuration_version = reader.number("v", greatest_number);
+    if (!reader.value("u").is_null())
+    {
+        member.service = reader.text("u", 1, greatest_name_length);
+        member.accepting = reader.boolean("a");
+    }
+    if (!reader.value("l").is_null())
+    {
+        member.departed = reader.text("l", 1, greatest_name_length);
+    }
     return member;
 }
 
