Start requests only on upstreams whose VM runs at its usual speed

Reports on answers were 50 to 500 ms old, so a quarter of the requests started slow. Ruled out: the load of the service; slots were two thirds free. Change: a receiver renews a load report older than 15 ms before it admits a request, and refuses to a faster peer while the VM is slow; changes of speed are told to recent callers; the router adds the slowdown to its score and prefers its zone. A shed by the upstream stays a counted attempt over the link. A departure without a time of birth names the start by its id (DRAIN).

--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -65,6 +65,9 @@
 
   private:
     void check();
+    void refresh(std::function<void()> done);
+    void start_check();
+    void release_waiting();
     void handle_check(const http::response_head* answer);
     void handle_load(const node::upstream_load& load);
     void handle_failed_check();
@@ -87,7 +90,9 @@
     bool is_down{false};
     bool is_accepting{false};
     bool is_checking{false};
+    std::vector<std::function<void()>> waiting_for_load{};
     net::timer check_timer;
+    net::timer wait_timer;
 };
 
 } // namespace poplarport::mesh
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -39,6 +39,9 @@
 // acknowledgement within a second asks elsewhere.
 constexpr std::chrono::milliseconds departure_wait{400};
 
+// Traffic between zones costs more than the wait that a nearly full upstream causes.
+constexpr double zone_preference = 0.8;
+
 membership::detector_settings detector_settings()
 {
     membership::detector_settings values;
@@ -206,7 +209,10 @@
     this->callers->apply(value);
     for (const auto& each : value->source().services)
     {
-        this->router_of(each.name).apply({.connection_limit = each.connection_limit}, value->version());
+        this->router_of(each.name).apply({.connection_limit = each.connection_limit,
+                                          .zone_preference = zone_preference,
+                                          .compares_all = true},
+                                         value->version());
     }
     if (const auto* const own = value->find_service(this->settings.service))
     {
@@ -283,7 +289,10 @@
     const auto bytes = wire::encode(wire::load_notice{this->settings.id, load}, this->settings.cluster_secret);
     for (const auto& each : this->members)
     {
-        if (each.id != this->settings.id && this->recent_callers.contains(each.peer_address.host))
+        // Upstreams of the same service are told too, because they name faster peers when they refuse.
+        const bool is_concerned =
+            each.service == this->settings.service || this->recent_callers.contains(each.peer_address.host);
+        if (each.id != this->settings.id && is_concerned)
         {
             this->gossip->send(each.peer_address, bytes);
         }
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm> // max
 #include <chrono>    // milliseconds, seconds
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include "poplarport/node/errors.hpp"
 #include "poplarport/observability/log_record.hpp"
@@ -19,6 +19,9 @@
 // An upstream answers a status check in about a millisecond.
 constexpr std::chrono::milliseconds check_timeout{300};
 
+// A request waits this long for the upstream's load, and then starts without it.
+constexpr std::chrono::milliseconds longest_load_wait{20};
+
 // A single check may meet a connection that the upstream has just closed.
 constexpr int failures_until_down = 2;
 
@@ -53,7 +56,7 @@
                              hooks hooks_of_node)
     : loop(&owner), settings(&values), site(&installation), events(std::move(hooks_of_node)),
       registry(values.service, core::to_string(values.upstream)), started_at(owner.now()),
-      check_timer(owner, [this] { this->check(); })
+      check_timer(owner, [this] { this->check(); }), wait_timer(owner, [this] { this->release_waiting(); })
 {
     node::receiver::hooks receiver_hooks;
     receiver_hooks.better_peers = this->events.better_peers;
@@ -61,6 +64,10 @@
     {
         this->handle_load(load);
     };
+    receiver_hooks.refresh_load = [this](std::function<void()> done)
+    {
+        this->refresh(std::move(done));
+    };
     receiver_hooks.on_misdirected = [this]
     {
         this->set_down(true, "another upstream has the address");
@@ -157,12 +164,40 @@
     {
         return;
     }
+    this->start_check();
+}
+
+void upstream_task::refresh(std::function<void()> done)
+{
+    this->waiting_for_load.push_back(std::move(done));
+    if (!this->wait_timer.is_scheduled())
+    {
+        this->wait_timer.schedule(longest_load_wait);
+    }
+    if (!this->is_checking)
+    {
+        this->start_check();
+    }
+}
+
+void upstream_task::release_waiting()
+{
+    this->wait_timer.cancel();
+    for (const auto& done : std::exchange(this->waiting_for_load, {}))
+    {
+        done();
+    }
+}
+
+void upstream_task::start_check()
+{
     this->is_checking = true;
     this->receiving->check(this->rules.health_path, check_timeout,
                            [this](const http::response_head* answer)
                            {
                                this->is_checking = false;
                                this->handle_check(answer);
+                               this->release_waiting();
                            });
 }
 
--- a/libs/node/include/poplarport/node/detail/local_channel.hpp
+++ b/libs/node/include/poplarport/node/detail/local_channel.hpp
@@ -21,7 +21,8 @@
     void dispatch();
 
     /// @brief Ends the attempt with the proof that nothing was sent.
-    void refuse(std::error_code reason);
+    /// @param[in] better better placed peers
+    void refuse(std::error_code reason, std::vector<core::node_id> better);
 
     void send_body(std::string_view bytes) override;
     void finish_request() override;
@@ -58,6 +59,7 @@
     bool request_finished{false};
     std::error_code refused_by{}; ///< set when the head proves that the upstream did not run the request
     core::time_point dispatched_at{};
+    std::uint32_t slowdown_at_dispatch{100};
     std::shared_ptr<http::client_connection> connection{};
     net::timer deadline_timer;
 };
--- a/libs/node/include/poplarport/node/errors.hpp
+++ b/libs/node/include/poplarport/node/errors.hpp
@@ -24,7 +24,8 @@
     malformed_deadline = 1310,
     upstream_not_accepting = 1311,
     foreign_answer = 1312,
-    misdirected = 1313
+    misdirected = 1313,
+    upstream_slowed = 1314
 };
 
 /// @return the category of this library's result codes
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -70,6 +70,8 @@
         std::function<void()> on_slot_free; ///< a slot became free and nothing waits for it
         /// The upstream reported its load, with an answer or with a status check.
         std::function<void(const upstream_load&)> on_load;
+        /// Asks the upstream for its load and calls the function soon, with or without an answer; may be empty.
+        std::function<void(std::function<void()>)> refresh_load;
         std::function<void()> on_misdirected;        ///< another upstream has the address
         std::function<void(std::error_code)> on_failure; ///< a request failed at the upstream
     };
@@ -136,9 +138,13 @@
     friend class detail::status_check;
 
     [[nodiscard]] core::duration redirect_limit() const;
+    [[nodiscard]] bool is_load_outdated() const;
+    void offer(const admission::ticket& offered);
+    [[nodiscard]] std::vector<core::node_id> faster_peers() const;
     void act_on(const admission::changes& result);
     void refuse(const std::string& ticket, std::error_code reason);
-    void end(const std::string& ticket, std::optional<core::duration> service_time);
+    void refuse(const std::string& ticket, std::error_code reason, std::vector<core::node_id> better);
+    void end(const std::string& ticket, std::optional<core::duration> service_time, std::uint32_t slowdown);
     void schedule_expiry();
 
     net::event_loop* loop;
@@ -156,6 +162,8 @@
     bool accepting{true};
     std::string identity{};
     std::uint32_t slowdown_percent{100};
+    std::optional<core::time_point> load_at{};   ///< newest load report of the upstream
+    std::optional<core::duration> usual_time{}; ///< moving average of the service time at the VM's usual speed
     counters counted{};
 };
 
--- a/libs/node/src/errors.cpp
+++ b/libs/node/src/errors.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<result::code_entry, 14> rows{{
+constexpr std::array<result::code_entry, 15> rows{{
     {1300, "no_configuration", "The node holds no configuration of the service yet.",
      "The manifest was not applied, or neither the platform nor a peer can be reached."},
     {1301, "upstream_unreachable", "The upstream does not accept connections; nothing was sent.",
@@ -36,6 +36,8 @@
      "The upstream sent an extra or late answer; whether the request ran is not known."},
     {1313, "misdirected", "Another upstream has the address; it did not run the request.",
      "The upstream ended and its address was given to another one."},
+    {1314, "upstream_slowed", "The upstream's VM is slow at present and a faster one is known; nothing was sent.",
+     "Neighbours on the VM's host take its processor time; the sender goes to the faster upstream."},
 }};
 
 } // namespace
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -32,6 +32,13 @@
                    admission::errors::deadline_passed);
         return;
     }
+    // The speed may have changed while the request waited.
+    if (auto better = this->owner->faster_peers(); !better.empty())
+    {
+        this->fail(attempts::refused{attempts::refusal_proof::admission_refused, std::move(better)},
+                   errc::upstream_slowed);
+        return;
+    }
     this->connection = this->owner->pool->acquire();
     if (!this->connection)
     {
@@ -43,6 +50,7 @@
     ++this->owner->counted.dispatched;
     this->current = state::dispatched;
     this->dispatched_at = now;
+    this->slowdown_at_dispatch = this->owner->slowdown_percent;
     this->owner->protocol->address_request(this->head, this->call, this->owner->identity, this->call.deadline - now);
     this->connection->start(this->head, this->connection_hooks());
     this->connection->send_body(std::exchange(this->buffered, {}));
@@ -147,7 +155,7 @@
     this->deadline_timer.cancel();
     this->close_connection(true);
     ++this->owner->counted.answered;
-    this->owner->end(this->ticket, this->owner->loop->now() - this->dispatched_at);
+    this->owner->end(this->ticket, this->owner->loop->now() - this->dispatched_at, this->slowdown_at_dispatch);
     const auto running = std::exchange(this->events, std::make_shared<hooks>());
     if (running->on_end)
     {
@@ -188,12 +196,10 @@
     this->fail(attempts::unknown_reported{}, errc::upstream_timed_out);
 }
 
-void local_channel::refuse(std::error_code reason)
+void local_channel::refuse(std::error_code reason, std::vector<core::node_id> better)
 {
     const auto keep = this->shared_from_this();
-    this->fail(attempts::refused{attempts::refusal_proof::admission_refused,
-                                 this->owner->events.better_peers(this->owner->redirect_limit())},
-               reason);
+    this->fail(attempts::refused{attempts::refusal_proof::admission_refused, std::move(better)}, reason);
 }
 
 void local_channel::fail(attempts::attempt_event event, std::error_code reason)
@@ -209,7 +215,7 @@
     {
         this->owner->events.on_failure(reason);
     }
-    this->owner->end(this->ticket, std::nullopt);
+    this->owner->end(this->ticket, std::nullopt, this->slowdown_at_dispatch);
     const auto running = std::exchange(this->events, std::make_shared<hooks>());
     if (running->on_failed)
     {
@@ -275,7 +281,7 @@
     this->events = std::make_shared<hooks>();
     this->close_connection(false);
     ++this->owner->counted.cancelled;
-    this->owner->end(this->ticket, std::nullopt);
+    this->owner->end(this->ticket, std::nullopt, this->slowdown_at_dispatch);
 }
 
 std::size_t local_channel::pending_bytes() const noexcept
--- a/libs/node/src/peer_channel.cpp
+++ b/libs/node/src/peer_channel.cpp
@@ -5,6 +5,7 @@
 
 #include "poplarport/node/detail/forwarding.hpp"
 #include "poplarport/node/detail/remote_error.hpp"
+#include "poplarport/node/errors.hpp"
 #include "poplarport/peer/answer_metadata.hpp"
 #include "poplarport/peer/errors.hpp"
 
@@ -35,6 +36,13 @@
     return {attempts::connection_lost{}, failure.error, true, {}};
 }
 
+// The receiver's code tells whether its upstream saw the request.
+attempts::refusal_proof proof_of(std::error_code reason)
+{
+    const bool is_shed = reason == errc::upstream_shed || reason == errc::misdirected;
+    return is_shed ? attempts::refusal_proof::upstream_shed : attempts::refusal_proof::admission_refused;
+}
+
 // A node that has no configuration yet reports no slots.
 bool has_report(const core::load_report& load) noexcept
 {
@@ -136,8 +144,7 @@
     this->call->cancel();
     if (metadata->result == core::outcome::not_run)
     {
-        this->fail({attempts::refused{attempts::refusal_proof::admission_refused, metadata->better}, reason, true,
-                    this->context});
+        this->fail({attempts::refused{proof_of(reason), metadata->better}, reason, true, this->context});
         return;
     }
     this->fail({attempts::unknown_reported{}, reason, true, this->context});
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -21,6 +21,16 @@
 // Queued requests are checked at least this often, so that one whose deadline cannot be met is refused early.
 constexpr std::chrono::milliseconds expiry_interval{10};
 
+// The speed of a shared VM changes many times a second. A request that starts on a slow one stays slow to its end, so
+// an older report is renewed before a request starts; the upstream answers within about a millisecond.
+constexpr std::chrono::milliseconds load_lifetime{15};
+
+// From this duration of work, in percent of the usual one, a request is better served elsewhere.
+constexpr std::uint32_t slow_percent = 200;
+
+// Part of a new service time in the moving average.
+constexpr int usual_time_memory = 8;
+
 admission::limits to_gate_limits(const receiver_limits& values)
 {
     return {std::max(values.slots, 1U), values.queue_length, values.tenant_weights, values.class_weights};
@@ -97,6 +107,31 @@
         this->loop->post([this, ticket] { this->refuse(ticket, errc::upstream_not_accepting); });
         return channel;
     }
+    if (this->is_load_outdated())
+    {
+        this->events.refresh_load(
+            [this, offered]
+            {
+                if (this->channels.contains(offered.id))
+                {
+                    this->offer(offered);
+                }
+            });
+        return channel;
+    }
+    this->offer(offered);
+    return channel;
+}
+
+void receiver::offer(const admission::ticket& offered)
+{
+    const auto& ticket = offered.id;
+    const auto better = this->faster_peers();
+    if (!better.empty())
+    {
+        this->loop->post([this, ticket, better] { this->refuse(ticket, errc::upstream_slowed, better); });
+        return;
+    }
     const auto decision = this->gate.offer(offered, this->loop->now());
     if (decision.displaced)
     {
@@ -107,7 +142,7 @@
     case admission::action::admit:
         ++this->counted.admitted;
         // Hooks may not run inside this function, and a failed dispatch ends in a hook.
-        this->loop->post([channel] { channel->dispatch(); });
+        this->loop->post([channel = this->channels.at(ticket)] { channel->dispatch(); });
         break;
     case admission::action::queue:
         ++this->counted.queued;
@@ -117,7 +152,20 @@
         this->loop->post([this, ticket, reason = decision.reason] { this->refuse(ticket, reason); });
         break;
     }
-    return channel;
+}
+
+bool receiver::is_load_outdated() const
+{
+    return this->load_at && this->events.refresh_load && this->loop->now() - *this->load_at > load_lifetime;
+}
+
+std::vector<core::node_id> receiver::faster_peers() const
+{
+    if (this->slowdown_percent < slow_percent || !this->usual_time)
+    {
+        return {};
+    }
+    return this->events.better_peers(*this->usual_time * (this->slowdown_percent - 100) / 100);
 }
 
 void receiver::apply(const receiver_limits& limits)
@@ -155,6 +203,7 @@
 void receiver::on_upstream_load(const upstream_load& load)
 {
     this->slowdown_percent = std::max(load.slowdown_percent, 1U);
+    this->load_at = this->loop->now();
     if (this->events.on_load)
     {
         this->events.on_load(load);
@@ -179,6 +228,10 @@
     auto report = this->gate.load(this->loop->now());
     report.draining = this->draining || !this->accepting;
     report.slowdown_percent = this->slowdown_percent;
+    if (this->usual_time)
+    {
+        report.service_time = std::chrono::duration_cast<std::chrono::microseconds>(*this->usual_time);
+    }
     return report;
 }
 
@@ -212,6 +265,11 @@
 }
 
 void receiver::refuse(const std::string& ticket, std::error_code reason)
+{
+    this->refuse(ticket, reason, this->events.better_peers(this->redirect_limit()));
+}
+
+void receiver::refuse(const std::string& ticket, std::error_code reason, std::vector<core::node_id> better)
 {
     const auto position = this->channels.find(ticket);
     if (position == this->channels.end())
@@ -221,15 +279,21 @@
     ++this->counted.refused;
     const auto channel = position->second;
     this->channels.erase(position);
-    channel->refuse(reason);
+    channel->refuse(reason, std::move(better));
 }
 
-void receiver::end(const std::string& ticket, std::optional<core::duration> service_time)
+void receiver::end(const std::string& ticket, std::optional<core::duration> service_time, std::uint32_t slowdown)
 {
     if (this->channels.erase(ticket) == 0)
     {
         return;
     }
+    if (service_time && this->load_at)
+    {
+        const auto usual = *service_time * 100 / std::max(slowdown, 1U);
+        const auto before = this->usual_time.value_or(usual);
+        this->usual_time = before + (usual - before) / usual_time_memory;
+    }
     const auto now = this->loop->now();
     const auto result = service_time ? this->gate.release(ticket, *service_time, now) : this->gate.cancel(ticket, now);
     const bool has_spare_slot = result.started.empty();
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm> // any_of, ranges::find, min
 #include <chrono>    // microseconds, milliseconds
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include "poplarport/node/detail/peer_channel.hpp"
 #include "poplarport/peer/call_metadata.hpp"
@@ -28,6 +28,9 @@
 // find a shorter wait elsewhere, which outweighs the hop.
 constexpr double local_utilization_limit = 0.75;
 
+// A call leaves its own VM while work takes this many percent of its usual time there.
+constexpr std::uint32_t slow_percent = 200;
+
 std::chrono::microseconds own_clock(core::time_point now)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
@@ -110,16 +113,15 @@
         const bool concerns_zone = cost.from == zone || cost.to == zone;
         greatest_cost = concerns_zone ? std::max<core::duration>(greatest_cost, cost.cost) : greatest_cost;
     }
-    return {document.rules.upstream.connection_limit, document.rules.tail_latency_weight_per_mille, greatest_cost * 2};
+    return {.connection_limit = document.rules.upstream.connection_limit,
+            .tail_weight_per_mille = document.rules.tail_latency_weight_per_mille,
+            .zone_round_trip = greatest_cost * 2};
 }
 
 void service_router::apply(const routing_rules& value, core::version version)
 {
     this->config_version = version;
-    const bool changes_router = value.zone_round_trip != this->rules.zone_round_trip ||
-                                value.tail_weight_per_mille != this->rules.tail_weight_per_mille;
-    this->rules = value;
-    if (changes_router)
+    if (const auto former = std::exchange(this->rules, value); former != value)
     {
         this->rebuild_router();
     }
@@ -139,6 +141,8 @@
     this->router = std::make_unique<routing::router>(routing::router::builder{}
                                                          .availability_zone(this->identity->availability_zone)
                                                          .zone_cost(this->rules.zone_round_trip)
+                                                         .zone_preference(this->rules.zone_preference)
+                                                         .compare_all(this->rules.compares_all)
                                                          .weights(tail_weight, 1.0 - tail_weight)
                                                          .build());
 }
@@ -235,7 +239,7 @@
         return false;
     }
     const auto load = this->local->load();
-    return !load.draining && static_cast<double>(load.in_flight + load.queued) <
+    return !load.draining && load.slowdown_percent < slow_percent && static_cast<double>(load.in_flight + load.queued) <
                                  local_utilization_limit * static_cast<double>(load.slots);
 }
 
--- a/libs/registration/src/registry.cpp
+++ b/libs/registration/src/registry.cpp
@@ -64,17 +64,21 @@
 
 std::error_code registry::leave(const upstream_start& start, core::time_point now)
 {
-    const bool is_current = start.id == this->upstream.start.id &&
-                            (start.born_ms == this->upstream.start.born_ms || this->upstream.start.born_ms == 0);
-    const bool is_unknown = this->upstream.state == upstream_state::unknown && this->upstream.start.id.empty();
+    const auto& held = this->upstream.start;
+    const bool is_same_birth = start.born_ms == held.born_ms || held.born_ms == 0 || start.born_ms == 0;
+    const bool is_current = start.id == held.id && is_same_birth;
+    const bool is_unknown = this->upstream.state == upstream_state::unknown && held.id.empty();
     if (!is_current && !is_unknown)
     {
         return errc::outdated;
     }
-    this->upstream.start = start;
+    if (is_unknown || held.born_ms == 0)
+    {
+        this->upstream.start = start;
+    }
     this->upstream.state = upstream_state::left;
     this->upstream.heard_at = now;
-    this->last_departed = to_string(start);
+    this->last_departed = to_string(this->upstream.start);
     return {};
 }
 
--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -35,6 +35,11 @@
     core::duration failure_back_off{
         std::chrono::milliseconds{100}};                     ///< first back-off after a failure; doubles up to 64 times
     core::duration cold_start_ramp{std::chrono::seconds{1}}; ///< time in which a new endpoint gets its full part
+    /// Part of its slots by which an endpoint in the own zone may be busier than one in another zone, because traffic
+    /// between zones is paid for.
+    double zone_preference{0.0};
+    /// Whether all endpoints are compared and not two at random; better where reports are only milliseconds old.
+    bool compares_all{false};
     std::uint32_t assumed_slots{8};                          ///< slots of an endpoint that has not reported yet
     core::duration assumed_service_time{std::chrono::milliseconds{10}}; ///< its service time
 };
@@ -141,6 +146,8 @@
     [[nodiscard]] double redirected_to(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] double load_of(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] double score_of(const state& value, core::time_point now) const noexcept;
+    [[nodiscard]] double slowdown_of(const state& value, core::time_point now) const noexcept;
+    [[nodiscard]] double travel_of(const state& value) const noexcept;
     [[nodiscard]] core::duration wait_of(const state& value, core::time_point now) const noexcept;
     [[nodiscard]] bool collect(const pick_request& request, core::time_point now, bool with_marked, bool with_failed);
     [[nodiscard]] state& best_candidate(core::time_point now, std::mt19937_64& random);
@@ -183,6 +190,20 @@
         return *this;
     }
 
+    /// @param[in] value part of its slots by which an endpoint in the own zone may be busier than another one
+    builder& zone_preference(double value) noexcept
+    {
+        this->settings.zone_preference = value;
+        return *this;
+    }
+
+    /// @brief Compares all endpoints for each call instead of two at random.
+    builder& compare_all(bool value) noexcept
+    {
+        this->settings.compares_all = value;
+        return *this;
+    }
+
     /// @brief Sets the two weights; only their ratio matters.
     /// @param[in] tail_latency   weight of low tail latency: stragglers are marked sooner, load is asked for more often
     /// @param[in] measuring_cost weight of a low cost of measuring
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -46,6 +46,9 @@
     return std::max(0.0, reported - value.own_at_report);
 }
 
+// A report of a slow VM holds for this long; neighbours disturb for about half a second at a time.
+constexpr std::chrono::milliseconds slowdown_lifetime{700};
+
 bool was_tried(const pick_request& request, const endpoint& value)
 {
     return std::ranges::find(request.tried, value.id) != request.tried.end();
@@ -368,9 +371,7 @@
 double router::service_time_of(const state& value) const noexcept
 {
     const core::duration reported = value.report.service_time;
-    constexpr double usual_percent = 100.0;
-    const auto usual = in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
-    return usual * static_cast<double>(value.report.slowdown_percent) / usual_percent;
+    return in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
 }
 
 // The calls that made up a load have mostly ended after one service time, so what is known of it fades at that rate.
@@ -397,17 +398,34 @@
 double router::score_of(const state& value, core::time_point now) const noexcept
 {
     const double utilisation = (this->load_of(value, now) + 1.0) / this->slots_of(value, now);
-    return utilisation * this->service_time_of(value) + in_nanoseconds(value.travel);
+    return utilisation * this->service_time_of(value) + this->slowdown_of(value, now) + this->travel_of(value);
 }
 
 core::duration router::wait_of(const state& value, core::time_point now) const noexcept
 {
     const double slots = this->slots_of(value, now);
     const double excess = std::max(0.0, this->load_of(value, now) + 1.0 - slots);
-    const double wait = excess / slots * this->service_time_of(value) + in_nanoseconds(value.travel);
+    const double wait =
+        excess / slots * this->service_time_of(value) + this->slowdown_of(value, now) + in_nanoseconds(value.travel);
     return core::duration{static_cast<core::duration::rep>(wait)};
 }
 
+// A request that starts on a slow VM takes longer by this much.
+double router::slowdown_of(const state& value, core::time_point now) const noexcept
+{
+    constexpr double usual_percent = 100.0;
+    const double excess = static_cast<double>(value.report.slowdown_percent) / usual_percent - 1.0;
+    const bool is_recent = now - value.reported_at < slowdown_lifetime;
+    return is_recent ? std::max(excess, 0.0) * this->service_time_of(value) : 0.0;
+}
+
+double router::travel_of(const state& value) const noexcept
+{
+    const bool is_remote = value.travel > core::duration::zero();
+    return in_nanoseconds(value.travel) +
+           (is_remote ? this->settings.zone_preference * this->service_time_of(value) : 0.0);
+}
+
 bool router::collect(const pick_request& request, core::time_point now, bool with_marked, bool with_failed)
 {
     this->candidates.clear();
@@ -437,7 +455,14 @@
             best_score = score;
         }
     };
-    if (count > 1)
+    if (this->settings.compares_all)
+    {
+        for (state* item : this->candidates)
+        {
+            consider(*item);
+        }
+    }
+    else if (count > 1)
     {
         const std::size_t offset = std::uniform_int_distribution<std::size_t>{1, count - 1}(random);
         consider(*this->candidates[(first + offset) % count]);
