--- a/libs/attempts/include/poplarport/attempts/retry_budget.hpp
+++ b/libs/attempts/include/poplarport/attempts/retry_budget.hpp
@@ -29,6 +29,12 @@
     /// @param[in] settings limits; the window is at least as many nanoseconds as there are buckets
     explicit retry_budget(retry_budget_settings settings = {});
 
+    /// @brief Changes the retries that are allowed without any call.
+    void set_minimum(std::uint64_t value) noexcept
+    {
+        this->limits.minimum = value;
+    }
+
     /// @brief Counts the first attempt of a call.
     void on_call(core::time_point now);
 
--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -25,6 +25,10 @@
 // Refusals by receivers before a request reached an upstream that one request may meet.
 constexpr std::uint32_t free_retries = 4;
 
+// Part of the installation's allowance that a node spends on repeats of its own. The calls that a repeated request
+// makes count as repeats at the services that it calls, and the nodes there cannot tell them from others.
+constexpr double direct_share = 0.35;
+
 constexpr std::string_view http_scheme = "http://";
 
 struct located_target
@@ -237,11 +241,13 @@
     if (!budget)
     {
         attempts::retry_budget_settings values;
-        values.ratio = this->settings->retry.ratio;
-        values.minimum = this->settings->retry.reserve / std::max<std::size_t>(this->events.node_count(), 1);
+        values.ratio = this->settings->retry.ratio * direct_share;
         values.window = this->settings->retry.window;
         budget = std::make_unique<attempts::retry_budget>(values);
     }
+    const auto nodes = static_cast<double>(std::max<std::size_t>(this->events.node_count(), 1));
+    const auto reserve = static_cast<double>(this->settings->retry.reserve);
+    budget->set_minimum(static_cast<std::uint64_t>(reserve * direct_share / nodes));
     return *budget;
 }
 
--- a/libs/node/include/poplarport/node/call_driver.hpp
+++ b/libs/node/include/poplarport/node/call_driver.hpp
@@ -53,7 +53,7 @@
             open;
         std::function<void(const call_result&)> on_finished; ///< called exactly once
         /// Proposes when a call that was not run is worth another try; may be empty.
-        std::function<std::optional<core::duration>(const call_description&)> retry_after;
+        std::function<std::optional<core::duration>(const call_description&)> retry_after{};
     };
 
     /// @param[in] loop        loop of the node
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -69,11 +69,11 @@
         std::function<std::vector<core::node_id>(core::duration wait_limit)> better_peers;
         std::function<void()> on_slot_free; ///< a slot became free and nothing waits for it
         /// The upstream reported its load, with an answer or with a status check.
-        std::function<void(const upstream_load&)> on_load;
+        std::function<void(const upstream_load&)> on_load{};
         /// Asks the upstream for its load and calls the function soon, with or without an answer; may be empty.
-        std::function<void(std::function<void()>)> refresh_load;
-        std::function<void()> on_misdirected;        ///< another upstream has the address
-        std::function<void(std::error_code)> on_failure; ///< a request failed at the upstream
+        std::function<void(std::function<void()>)> refresh_load{};
+        std::function<void()> on_misdirected{};        ///< another upstream has the address
+        std::function<void(std::error_code)> on_failure{}; ///< a request failed at the upstream
     };
 
     /// @param[in] loop     loop of the node
--- a/libs/node/tests/unit-local_path.cpp
+++ b/libs/node/tests/unit-local_path.cpp
@@ -54,7 +54,7 @@
         this->upstream = std::make_unique<http::server>(
             http::server::builder{}.listen_on(loopback).on_request(std::move(upstream_hook)).build(this->loop));
         this->receiving = std::make_unique<node::receiver>(
-            this->loop, this->upstream->address(), this->document->rules,
+            this->loop, this->upstream->address(), this->protocol, node::to_receiver_limits(this->document->rules),
             node::receiver::hooks{.better_peers = [](core::duration) { return std::vector<core::node_id>{}; },
                                   .on_slot_free = {}});
         node::entry::hooks hooks;
@@ -140,6 +140,7 @@
     }
 
     net::event_loop loop{};
+    node::call_protocol protocol{node::own_protocol()};
     std::mt19937_64 random{1};
     std::shared_ptr<const manifest::service_document> document{make_document()};
     manifest::service_directory directory{};
