Notice silent connections to the store within two seconds; reload settings

Ruled out: gossip; its datagrams told the version within 0.2 s. Change: keep-alive probes on the client's connections; a pull without an answer after 300 ms asks the store, then another member.

--- a/libs/attempts/include/poplarport/attempts/retry_budget.hpp
+++ b/libs/attempts/include/poplarport/attempts/retry_budget.hpp
@@ -29,10 +29,11 @@
     /// @param[in] settings limits; the window is at least as many nanoseconds as there are buckets
     explicit retry_budget(retry_budget_settings settings = {});
 
-    /// @brief Changes the retries that are allowed without any call.
-    void set_minimum(std::uint64_t value) noexcept
+    /// @brief Changes the retries per call, and those that are allowed without any call.
+    void set_limits(double ratio, std::uint64_t minimum) noexcept
     {
-        this->limits.minimum = value;
+        this->limits.ratio = ratio;
+        this->limits.minimum = minimum;
     }
 
     /// @brief Counts the first attempt of a call.
--- a/libs/control/src/client.cpp
+++ b/libs/control/src/client.cpp
@@ -26,6 +26,10 @@
 
 constexpr std::size_t chunk_bytes = 16384;
 
+// A silent connection is noticed after two seconds, the time within which a new configuration must be in force.
+constexpr int keep_alive_seconds = 1;
+constexpr int keep_alive_probes = 1;
+
 bool is_printable(std::string_view text) noexcept
 {
     return std::ranges::all_of(text, [](char letter) { return letter >= ' ' && letter <= '~'; });
@@ -386,6 +390,10 @@
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.vhost_name = vhost_name;
     info.protocols = client_protocols.data();
+    // A watch waits for many seconds; without probes a connection that has gone silent is noticed only at its end.
+    info.ka_time = keep_alive_seconds;
+    info.ka_interval = keep_alive_seconds;
+    info.ka_probes = keep_alive_probes;
     // Port 0 means no proxy; without an address libwebsockets takes the proxy of the variable http_proxy.
     info.http_proxy_address = "none:0";
     return lws_create_vhost(context, &info);
--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -81,7 +81,7 @@
     configuration::document held{};
     std::optional<store::revision> listed_at{};
     bool calling{false};
-    bool pulling{false};
+    int pulls{0}; ///< requests to members that are in progress
     core::duration back_off;
     net::timer store_wakeup;
     net::timer pull_wakeup;
--- a/libs/mesh/include/poplarport/mesh/mesh_node.hpp
+++ b/libs/mesh/include/poplarport/mesh/mesh_node.hpp
@@ -41,6 +41,10 @@
     /// @return counters and histograms in Prometheus' text format
     [[nodiscard]] std::string metrics_text() const;
 
+    /// @brief Puts changed settings in force: the limits of retries and stops and the level of the log.
+    /// @return whether nothing else has changed; the rest is in force after a restart
+    bool apply(const mesh_settings& settings);
+
     /// @brief Begins a planned stop: callers are sent elsewhere, requests in flight finish; on_stopped follows.
     void drain();
 
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -18,9 +18,8 @@
 // Nodes that watch the store. A store that turns every third node away leaves no watcher in 1 case of 700.
 constexpr std::size_t watcher_count = 6;
 
-// The watchers' waits end at different times, so that one of them soon starts a new watch when all connections to the
-// store have gone silent.
-constexpr std::chrono::seconds watch_wait{10};
+// Each watch costs one call; the store ends it earlier when there is a change.
+constexpr std::chrono::seconds watch_wait{20};
 
 constexpr std::chrono::milliseconds first_back_off{100};
 constexpr std::chrono::milliseconds longest_back_off{1000};
@@ -29,6 +28,10 @@
 constexpr std::chrono::milliseconds pull_delay{150};
 constexpr std::chrono::milliseconds pull_retry{200};
 
+// A pull over a connection that has gone silent ends after a second; the store, or another member, is asked earlier.
+constexpr std::chrono::milliseconds pull_patience{300};
+constexpr int greatest_pulls = 3;
+
 } // namespace
 
 configuration_task::configuration_task(net::event_loop& owner, core::node_id name, std::string key,
@@ -64,7 +67,7 @@
     const bool is_behind =
         std::ranges::any_of(this->members, [this](const membership::member& each)
                             { return each.configuration_version > this->held.version; });
-    if (is_behind && !this->pull_wakeup.is_scheduled() && !this->pulling)
+    if (is_behind && !this->pull_wakeup.is_scheduled() && this->pulls == 0)
     {
         const bool expects_it = this->calling && this->listed_at && this->held.version != 0;
         this->pull_wakeup.schedule(expects_it ? pull_delay : std::chrono::milliseconds{0});
@@ -211,10 +214,6 @@
 
 void configuration_task::pull()
 {
-    if (this->pulling)
-    {
-        return;
-    }
     std::vector<core::node_id> newer;
     for (const auto& each : this->members)
     {
@@ -223,7 +222,16 @@
             newer.push_back(each.id);
         }
     }
-    if (!newer.empty())
+    if (newer.empty())
+    {
+        return;
+    }
+    if (this->pulls > 0)
+    {
+        // Does nothing where a watch is open, which tells the change itself.
+        this->list();
+    }
+    if (this->pulls < greatest_pulls)
     {
         this->pull_from(newer[(*this->random)() % newer.size()]);
     }
@@ -237,7 +245,8 @@
         this->pull_wakeup.schedule(pull_retry);
         return;
     }
-    this->pulling = true;
+    ++this->pulls;
+    this->pull_wakeup.schedule(pull_patience);
     node::detail::pull_document(*link, this->cluster_key,
                                 "/.poplar/config/mesh?above=" + std::to_string(this->held.version),
                                 [this, id, still_alive = this->alive](const node::detail::pull_result& result)
@@ -246,11 +255,10 @@
                                     {
                                         return;
                                     }
-                                    this->pulling = false;
+                                    --this->pulls;
                                     if (result.document)
                                     {
                                         this->take(result.document->content, id);
-                                        return;
                                     }
                                     this->pull_wakeup.schedule(pull_retry);
                                 });
--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -254,13 +254,13 @@
     if (!budget)
     {
         attempts::retry_budget_settings values;
-        values.ratio = this->settings->retry.ratio * direct_share;
         values.window = this->settings->retry.window;
         budget = std::make_unique<attempts::retry_budget>(values);
     }
     const auto nodes = static_cast<double>(std::max<std::size_t>(this->events.node_count(), 1));
     const auto reserve = static_cast<double>(this->settings->retry.reserve);
-    budget->set_minimum(static_cast<std::uint64_t>(reserve * direct_share / nodes));
+    budget->set_limits(this->settings->retry.ratio * direct_share,
+                       static_cast<std::uint64_t>(reserve * direct_share / nodes));
     return *budget;
 }
 
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -450,6 +450,19 @@
     return this->data->metrics.text();
 }
 
+bool mesh_node::apply(const mesh_settings& settings)
+{
+    auto& held = this->data->settings;
+    held.retry = settings.retry;
+    held.stop_limit = settings.stop_limit;
+    if (held.log_level != settings.log_level)
+    {
+        held.log_level = settings.log_level;
+        observability::set_log_level(observability::log_level_from_string(settings.log_level));
+    }
+    return held == settings;
+}
+
 void mesh_node::drain()
 {
     this->data->drain();
--- a/libs/observability/include/poplarport/observability/log_record.hpp
+++ b/libs/observability/include/poplarport/observability/log_record.hpp
@@ -31,6 +31,9 @@
 /// @param[in] target where the lines go
 void configure_log(log_level least, log_target target = log_target::standard_error);
 
+/// @brief Changes the level below which records are dropped.
+void set_log_level(log_level least);
+
 /// @return records that were not written since the start, because there were too many or the reader was too slow
 [[nodiscard]] std::uint64_t dropped_records() noexcept;
 
--- a/libs/observability/src/log_record.cpp
+++ b/libs/observability/src/log_record.cpp
@@ -118,6 +118,11 @@
     nlohmann::ordered_json fields;
 };
 
+void set_log_level(log_level least)
+{
+    log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(logger_name)).setLogLevel(to_library_level(least));
+}
+
 std::uint64_t dropped_records() noexcept
 {
     return dropped;
@@ -133,7 +138,7 @@
     logger.removeAllAppenders();
     logger.setAdditivity(false);
     logger.addAppender(appender);
-    logger.setLogLevel(to_library_level(least));
+    set_log_level(least);
 }
 
 log_level log_level_from_string(std::string_view name) noexcept
