--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -71,7 +71,6 @@
     void pull();
     void pull_from(const core::node_id& id);
 
-    net::event_loop* loop;
     core::node_id self;
     std::string cluster_key;
     const adapter* site;
--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -31,10 +31,11 @@
     };
 
     /// @param[in] loop     loop of the node
-    /// @param[in] settings settings of the node; must outlive the task
+    /// @param[in] settings settings of the node
     /// @param[in] site     the installation; must outlive the task
     /// @param[in] events   hooks to the rest of the node
     upstream_task(net::event_loop& loop, const mesh_settings& settings, const adapter& site, hooks events);
+    ~upstream_task() = default;
     upstream_task(const upstream_task&) = delete;
     upstream_task& operator=(const upstream_task&) = delete;
 
@@ -76,7 +77,6 @@
     void depart(const std::function<void(std::error_code)>& acknowledge);
 
     net::event_loop* loop;
-    const mesh_settings* settings;
     const adapter* site;
     hooks events;
     registration::registry registry;
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -36,7 +36,7 @@
 
 configuration_task::configuration_task(net::event_loop& owner, core::node_id name, std::string key,
                                        const adapter& installation, std::mt19937_64& engine, hooks values)
-    : loop(&owner), self(std::move(name)), cluster_key(std::move(key)), site(&installation), random(&engine),
+    : self(std::move(name)), cluster_key(std::move(key)), site(&installation), random(&engine),
       events(std::move(values)), back_off(first_back_off), store_wakeup(owner,
                                                                         [this]
                                                                         {
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -55,7 +55,7 @@
 
 upstream_task::upstream_task(net::event_loop& owner, const mesh_settings& values, const adapter& installation,
                              hooks hooks_of_node)
-    : loop(&owner), settings(&values), site(&installation), events(std::move(hooks_of_node)),
+    : loop(&owner), site(&installation), events(std::move(hooks_of_node)),
       registry(values.service, core::to_string(values.upstream)), started_at(owner.now()),
       check_timer(owner, [this] { this->check(); }), wait_timer(owner, [this] { this->release_waiting(); })
 {
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -194,7 +194,8 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof address;
-        ::bind(probe, reinterpret_cast<const sockaddr*>(&address), length);
+        const int bound = ::bind(probe, reinterpret_cast<const sockaddr*>(&address), length);
+        LONGS_EQUAL(0, bound);
         ::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &length);
         ::close(probe);
         return {"127.0.0.1", ntohs(address.sin_port)};
--- a/libs/node/include/poplarport/node/detail/local_channel.hpp
+++ b/libs/node/include/poplarport/node/detail/local_channel.hpp
@@ -46,6 +46,7 @@
     void handle_failure(const http::client_failure& failure);
     void handle_deadline();
     void fail(attempts::attempt_event event, std::error_code reason);
+    void log_end(std::error_code reason) const;
     void close_connection(bool reusable);
     [[nodiscard]] answer_context context() const;
 
@@ -54,6 +55,7 @@
     http::request_head head;
     received_call call;
     std::shared_ptr<hooks> events;
+    core::time_point offered_at;
     state current{state::waiting};
     std::string buffered{};
     bool request_finished{false};
--- a/libs/node/include/poplarport/node/gossip_task.hpp
+++ b/libs/node/include/poplarport/node/gossip_task.hpp
@@ -59,6 +59,7 @@
     /// @param[in] random     random engine of the node
     /// @param[in] events     hooks to the rest of the node
     gossip_task(net::event_loop& loop, gossip_parameters parameters, std::mt19937_64& random, hooks events);
+    ~gossip_task() = default;
     gossip_task(const gossip_task&) = delete;
     gossip_task& operator=(const gossip_task&) = delete;
 
--- a/libs/node/include/poplarport/node/service_router.hpp
+++ b/libs/node/include/poplarport/node/service_router.hpp
@@ -116,6 +116,8 @@
     [[nodiscard]] peer::counters link_counters() const;
 
   private:
+    void log_choice(const routing::endpoint& target, const call_description& description,
+                    const attempts::start_parameters& parameters) const;
     [[nodiscard]] std::optional<routing::endpoint> choose(const attempts::start_parameters& parameters);
     [[nodiscard]] bool local_has_room(const attempts::start_parameters& parameters) const;
     [[nodiscard]] std::shared_ptr<attempt_channel> open_local(const http::request_head& head,
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -1,10 +1,12 @@
 #include "poplarport/node/detail/local_channel.hpp"
 
+#include <chrono>  // duration_cast, microseconds
 #include <utility> // exchange, move
 #include <variant> // holds_alternative
 
 #include "poplarport/node/detail/forwarding.hpp"
 #include "poplarport/node/errors.hpp"
+#include "poplarport/observability/log_record.hpp"
 
 namespace poplarport::node::detail
 {
@@ -12,7 +14,7 @@
 local_channel::local_channel(receiver& receiving, std::string id, http::request_head request, received_call received,
                              hooks values)
     : owner(&receiving), ticket(std::move(id)), head(std::move(request)), call(std::move(received)),
-      events(std::make_shared<hooks>(std::move(values))),
+      events(std::make_shared<hooks>(std::move(values))), offered_at(receiving.loop->now()),
       deadline_timer(*receiving.loop, [this] { this->handle_deadline(); })
 {
     this->deadline_timer.schedule(this->call.deadline - receiving.loop->now());
@@ -154,6 +156,7 @@
     this->current = state::ended;
     this->deadline_timer.cancel();
     this->close_connection(true);
+    this->log_end({});
     ++this->owner->counted.answered;
     this->owner->end(this->ticket, this->call.traffic_class, this->owner->loop->now() - this->dispatched_at,
                      this->slowdown_at_dispatch);
@@ -211,6 +214,7 @@
     }
     this->current = state::ended;
     this->deadline_timer.cancel();
+    this->log_end(reason);
     ++this->owner->counted.failed;
     if (reason.category() == category() && reason != errc::upstream_not_accepting && this->owner->events.on_failure)
     {
@@ -225,6 +229,35 @@
     }
 }
 
+void local_channel::log_end(std::error_code reason) const
+{
+    if (!observability::is_logged(observability::log_level::debug))
+    {
+        return;
+    }
+    const auto now = this->owner->loop->now();
+    const bool was_sent = this->dispatched_at != core::time_point{};
+    const auto to_us = [](core::duration value)
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+    };
+    const auto load = this->owner->load();
+    observability::log_record{"attempt_ended"}
+        .with("id", this->call.id)
+        .with("upstream", this->owner->identity)
+        .with("sent", was_sent ? "true" : "false")
+        .with("waited_us", to_us((was_sent ? this->dispatched_at : now) - this->offered_at))
+        .with("ran_us", was_sent ? to_us(now - this->dispatched_at) : 0)
+        .with("code", reason.value())
+        .with("slots", load.slots)
+        .with("in_flight", load.in_flight)
+        .with("queued", load.queued)
+        .with("slowdown_percent", load.slowdown_percent)
+        .with("load_age_us", this->owner->load_at ? to_us(now - *this->owner->load_at) : -1)
+        .with("time_left_us", to_us(this->call.deadline - now))
+        .write_limited(observability::log_level::debug);
+}
+
 void local_channel::close_connection(bool reusable)
 {
     const auto closing = std::exchange(this->connection, nullptr);
@@ -279,6 +312,7 @@
     const auto keep = this->shared_from_this();
     this->current = state::ended;
     this->deadline_timer.cancel();
+    this->log_end(errc::caller_gone);
     this->events = std::make_shared<hooks>();
     this->close_connection(false);
     ++this->owner->counted.cancelled;
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -5,6 +5,7 @@
 #include <utility>   // exchange, move
 
 #include "poplarport/node/detail/peer_channel.hpp"
+#include "poplarport/observability/log_record.hpp"
 #include "poplarport/peer/call_metadata.hpp"
 #include "poplarport/routing/subset.hpp"
 
@@ -202,6 +203,7 @@
     }
     const auto id = target->id;
     const bool is_local = this->local != nullptr && id == this->identity->id;
+    this->log_choice(*target, description, parameters);
     this->router->on_sent(id, this->loop->now());
     auto tracked = this->track(id, std::move(values));
     auto channel = is_local ? this->open_local(head, description, parameters, std::move(tracked))
@@ -216,6 +218,32 @@
     return opened_attempt{id, std::make_shared<tracked_channel>(std::move(channel), on_cancelled)};
 }
 
+void service_router::log_choice(const routing::endpoint& target, const call_description& description,
+                                const attempts::start_parameters& parameters) const
+{
+    if (!observability::is_logged(observability::log_level::debug))
+    {
+        return;
+    }
+    const auto now = this->loop->now();
+    const auto known = this->router->report_of(target.id, now).value_or(routing::report_view{});
+    observability::log_record{"attempt_started"}
+        .with("id", description.id)
+        .with("attempt", parameters.attempt)
+        .with("endpoint", target.id)
+        .with("incarnation", static_cast<std::int64_t>(target.incarnation))
+        .with("redirected", parameters.preferred ? "true" : "false")
+        .with("tried", static_cast<std::int64_t>(parameters.excluded.size()))
+        .with("slots", known.report.slots)
+        .with("in_flight", known.report.in_flight)
+        .with("queued", known.report.queued)
+        .with("slowdown_percent", known.report.slowdown_percent)
+        .with("own_calls", static_cast<std::int64_t>(known.own_calls))
+        .with("report_age_us", std::chrono::duration_cast<std::chrono::microseconds>(known.age).count())
+        .with("time_left_us", std::chrono::duration_cast<std::chrono::microseconds>(parameters.time_left).count())
+        .write_limited(observability::log_level::debug);
+}
+
 std::optional<routing::endpoint> service_router::choose(const attempts::start_parameters& parameters)
 {
     if (parameters.preferred && this->endpoints.contains(*parameters.preferred))
--- a/libs/observability/include/poplarport/observability/log_record.hpp
+++ b/libs/observability/include/poplarport/observability/log_record.hpp
@@ -34,6 +34,9 @@
 /// @brief Changes the level below which records are dropped.
 void set_log_level(log_level least);
 
+/// @return whether records of a level are written; asked before a record that would cost time for each request
+[[nodiscard]] bool is_logged(log_level level) noexcept;
+
 /// @return records that were not written since the start, because there were too many or the reader was too slow
 [[nodiscard]] std::uint64_t dropped_records() noexcept;
 
--- a/libs/observability/src/log_record.cpp
+++ b/libs/observability/src/log_record.cpp
@@ -61,6 +61,8 @@
 
 std::uint64_t dropped{0};
 
+log_level least_level{log_level::info};
+
 /// Writes each line with one call, and drops it when the descriptor's reader is too slow.
 class descriptor_appender final : public log4cplus::Appender
 {
@@ -120,9 +122,15 @@
 
 void set_log_level(log_level least)
 {
+    least_level = least;
     log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(logger_name)).setLogLevel(to_library_level(least));
 }
 
+bool is_logged(log_level level) noexcept
+{
+    return least_level <= level;
+}
+
 std::uint64_t dropped_records() noexcept
 {
     return dropped;
--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -44,6 +44,14 @@
     core::duration assumed_service_time{std::chrono::milliseconds{10}}; ///< its service time
 };
 
+/// @brief What is known of an endpoint's load.
+struct report_view
+{
+    core::load_report report{};
+    core::duration age{0};
+    std::size_t own_calls{0}; ///< calls of this node in flight
+};
+
 /// @brief Chooses the endpoint that handles a request.
 ///
 /// The score of an endpoint is its expected load with this call, divided by its slots, times its service time, plus the
@@ -124,6 +132,9 @@
     /// @brief An endpoint announces free slots.
     void on_idle_hint(std::string_view id, std::uint32_t free_slots, core::time_point now);
 
+    /// @return the newest load report of an endpoint, with its age; nothing for an unknown endpoint
+    [[nodiscard]] std::optional<report_view> report_of(std::string_view id, core::time_point now) const;
+
     /// @return whether an endpoint is marked as a straggler
     [[nodiscard]] bool is_marked(std::string_view id, core::time_point now) const;
 
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -316,6 +316,17 @@
     }
 }
 
+std::optional<report_view> router::report_of(std::string_view id, core::time_point now) const
+{
+    const auto found =
+        std::ranges::find(this->states, id, [](const state& item) { return std::string_view{item.target->id}; });
+    if (found == this->states.end())
+    {
+        return std::nullopt;
+    }
+    return report_view{found->report, now - found->reported_at, static_cast<std::size_t>(found->in_flight())};
+}
+
 bool router::is_marked(std::string_view id, core::time_point now) const
 {
     const auto found =
