Take a report of a slow VM for valid over 1.5 s

Ruled out: lost notices (each change of speed is in the receiver's log and in the sender's next attempt). Change: the report holds for 1.5 s; the end of a slow time is told at once.

--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -46,8 +46,8 @@
     return std::max(0.0, reported - value.own_at_report);
 }
 
-// A report of a slow VM holds for this long; neighbours disturb for about half a second at a time.
-constexpr std::chrono::milliseconds slowdown_lifetime{700};
+// A report of a slow VM holds for this long. Its end is told at once; this covers a notice that is lost.
+constexpr std::chrono::milliseconds slowdown_lifetime{1500};
 
 bool was_tried(const pick_request& request, const endpoint& value)
 {
