--- a/libs/mesh/include/poplarport/mesh/settings.hpp
+++ b/libs/mesh/include/poplarport/mesh/settings.hpp
@@ -46,7 +46,6 @@
     core::socket_address upstream;
     core::socket_address store;
     retry_settings retry{};
-    core::duration heartbeat{std::chrono::seconds{1}};   ///< interval of the upstream's announcements
     core::duration drain_limit{std::chrono::seconds{2}}; ///< a leaving upstream gets no work later than this
     core::duration stop_limit{std::chrono::seconds{6}};  ///< a stop ends within this time
     std::size_t descriptors{4096};                       ///< greatest number of open descriptors
--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -65,6 +65,7 @@
     }
 
   private:
+    [[nodiscard]] node::receiver_limits limits() const;
     void check();
     void refresh(std::function<void()> done);
     void start_check();
@@ -78,6 +79,7 @@
 
     net::event_loop* loop;
     const adapter* site;
+    core::duration drain_limit;
     hooks events;
     registration::registry registry;
     std::unique_ptr<node::receiver> receiving;
--- a/libs/mesh/src/settings.cpp
+++ b/libs/mesh/src/settings.cpp
@@ -64,7 +64,6 @@
                      listen.address("readiness"), listen.address("metrics")};
     const auto upstream = root.child("upstream");
     result.upstream = upstream.address("address");
-    result.heartbeat = upstream.duration("heartbeat", up_to(longest));
     result.drain_limit = upstream.duration("drain_limit", up_to(longest));
     result.store = root.child("store").address("address");
     const auto retry = root.child("retry");
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -34,7 +34,7 @@
 // Requests that wait at one upstream for each of its slots; more would wait longer than any caller does.
 constexpr std::size_t queue_per_slot = 4;
 
-node::receiver_limits make_limits(std::uint32_t slots, const routes::service& rules)
+node::receiver_limits make_limits(std::uint32_t slots, const routes::service& rules, core::duration drain_limit)
 {
     constexpr std::uint32_t default_connections = 64;
     // Status checks need connections of their own.
@@ -46,6 +46,7 @@
     limits.connection_limit =
         std::min(needed, rules.connection_limit == 0 ? default_connections : rules.connection_limit);
     limits.bounds_starts = true;
+    limits.drain_limit = drain_limit;
     // A more urgent class gets eight of nine starts while both wait.
     limits.class_weights = {{"0", 512.0}, {"1", 64.0}, {"2", 8.0}, {"3", 1.0}};
     return limits;
@@ -55,7 +56,7 @@
 
 upstream_task::upstream_task(net::event_loop& owner, const mesh_settings& values, const adapter& installation,
                              hooks hooks_of_node)
-    : loop(&owner), site(&installation), events(std::move(hooks_of_node)),
+    : loop(&owner), site(&installation), drain_limit(values.drain_limit), events(std::move(hooks_of_node)),
       registry(values.service, core::to_string(values.upstream)), started_at(owner.now()),
       check_timer(owner, [this] { this->check(); }), wait_timer(owner, [this] { this->release_waiting(); })
 {
@@ -80,17 +81,21 @@
             this->handle_failed_check();
         }
     };
-    this->receiving =
-        std::make_unique<node::receiver>(owner, values.upstream, installation.protocol,
-                                         make_limits(this->slots, this->rules), std::move(receiver_hooks));
+    this->receiving = std::make_unique<node::receiver>(owner, values.upstream, installation.protocol, this->limits(),
+                                                       std::move(receiver_hooks));
     this->receiving->set_accepting(false);
     this->check_timer.schedule(check_interval);
 }
 
+node::receiver_limits upstream_task::limits() const
+{
+    return make_limits(this->slots, this->rules, this->drain_limit);
+}
+
 void upstream_task::apply(const routes::service& value)
 {
     this->rules = value;
-    this->receiving->apply(make_limits(this->slots, this->rules));
+    this->receiving->apply(this->limits());
 }
 
 void upstream_task::announce(const registration::announcement& value,
@@ -119,7 +124,7 @@
     if (value.slots != this->slots)
     {
         this->slots = value.slots;
-        this->receiving->apply(make_limits(this->slots, this->rules));
+        this->receiving->apply(this->limits());
     }
     this->receiving->set_upstream(value.start.id);
     this->update("announcement");
@@ -222,7 +227,7 @@
     if (can_adopt && this->registry.adopt(report.upstream, report.load->slots, this->loop->now()))
     {
         this->slots = report.load->slots;
-        this->receiving->apply(make_limits(this->slots, this->rules));
+        this->receiving->apply(this->limits());
         this->receiving->set_upstream(current.start.id);
         this->update("status check");
         return;
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -40,6 +40,8 @@
         std::vector<std::string> ran; ///< targets of the requests that the upstream ran
         int status{200};              ///< of the upstream's answers
         bool stopped{false};
+        bool holds_answers{false}; ///< the upstream leaves requests without an answer
+        std::vector<std::shared_ptr<http::server_exchange>> held{};
     };
 
     net::event_loop loop{};
@@ -68,6 +70,11 @@
                         {
                             target->ran.push_back(exchange->request().target);
                         }
+                        if (target->holds_answers && exchange->request().target != "/health")
+                        {
+                            target->held.push_back(exchange);
+                            return;
+                        }
                         http::respond(*exchange, {.status = target->status}, "done");
                     })
                 .build(this->loop));
@@ -142,6 +149,24 @@
         return *status;
     }
 
+    // Sends one request and goes on; the hook gets the status of its answer.
+    std::shared_ptr<http::client_connection> send(member& entry, const std::string& target,
+                                                  std::function<void(int)> on_status)
+    {
+        http::request_head head{.method = "GET", .target = target};
+        head.fields.add("Host", "a.example");
+        const auto connection =
+            http::client_connection::connect(this->loop, entry.settings.listen.callers, std::chrono::seconds{5});
+        connection->start(
+            head, {.on_interim = {},
+                   .on_head = [hook = std::move(on_status)](http::response_head& answer) { hook(answer.status); },
+                   .on_body = {},
+                   .on_end = {},
+                   .on_writable = {},
+                   .on_failed = {}});
+        return connection;
+    }
+
     // Calls until the answer has a status; returns whether it came within five seconds.
     bool becomes(member& entry, const std::string& target, int status)
     {
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -131,3 +131,33 @@
     mesh.run_until([&] { return only.stopped; });
     CHECK(mesh.loop.now() - begin < 3s);
 }
+
+// Guards against a request that waits at a leaving upstream and starts after its drain limit, where the limit is
+// shorter than that of the first installations.
+TEST(mesh_node, waiting_requests_do_not_outlast_the_drain_limit)
+{
+    mesh::small_mesh mesh{{"orders"}};
+    auto& only = *mesh.members[0];
+    mesh.kill(only);
+    only.settings.drain_limit = 400ms;
+    mesh.start(only);
+    mesh.configure("1 /o/=orders");
+    CHECK_FALSE(mesh.announce(only));
+    CHECK(mesh.becomes(only, "/o/1", 200));
+    only.holds_answers = true;
+    int refused = 0;
+    std::vector<std::shared_ptr<http::client_connection>> connections;
+    for (int request = 0; request < 6; ++request)
+    {
+        connections.push_back(mesh.send(only, "/o/2", [&](int status) { refused += status == 503 ? 1 : 0; }));
+    }
+    mesh.wait(50ms);
+    CHECK_FALSE(mesh.announce(only, true));
+    mesh.wait(390ms);
+    // Four run in the upstream's slots, and two waited.
+    LONGS_EQUAL(2, refused);
+    for (const auto& each : connections)
+    {
+        each->abort();
+    }
+}
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -29,10 +29,11 @@
 /// @brief Limits of a receiver, from the configuration of its service or from its upstream's registration.
 struct receiver_limits
 {
-    std::uint32_t slots{1};            ///< requests that the upstream runs at once
-    std::size_t queue_length{0};       ///< requests that wait at most
-    std::uint32_t connection_limit{1}; ///< connections to the upstream
-    core::duration cold_start_ramp{0}; ///< time from the start until all slots are in use
+    std::uint32_t slots{1};                              ///< requests that the upstream runs at once
+    std::size_t queue_length{0};                         ///< requests that wait at most
+    std::uint32_t connection_limit{1};                   ///< connections to the upstream
+    core::duration drain_limit{std::chrono::seconds{2}}; ///< a leaving upstream gets no work later than this
+    core::duration cold_start_ramp{0};                   ///< time from the start until all slots are in use
     /// Whether a request that waits is refused once it cannot be answered by its target, from the service time of its
     /// class; otherwise once it cannot be answered by its deadline, from the mean service time.
     bool bounds_starts{false};
@@ -105,7 +106,8 @@
 
     /// @brief Tells whether the upstream takes new work.
     ///
-    /// Without it later requests are refused at once, and after 1.5 s those that still wait; running ones finish.
+    /// Without it later requests are refused at once, and those that still wait before the drain limit; running ones
+    /// finish.
     void set_accepting(bool accepting);
 
     /// @brief Takes a load report of the upstream that came without a call.
@@ -117,7 +119,7 @@
     /// @param[in] hook    receives the head of the answer, or nothing
     void check(const std::string& path, core::duration timeout, std::function<void(const http::response_head*)> hook);
 
-    /// @brief Refuses later requests, and after 1.5 s those that still wait; running ones finish.
+    /// @brief Refuses later requests, and those that still wait before the drain limit; running ones finish.
     void drain();
 
     /// @return whether no request is queued or running
@@ -170,6 +172,7 @@
     std::optional<core::time_point> load_at{};                     ///< newest load report of the upstream
     std::unordered_map<std::string, core::duration> usual_times{}; ///< by class
     bool bounds_starts{false};
+    core::duration queue_drain_time{0};         ///< what still waits this long after a drain began is refused
     std::optional<core::duration> usual_time{}; ///< moving average of the service time at the VM's usual speed
     counters counted{};
 };
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -14,9 +14,12 @@
 namespace
 {
 
-// An upstream that is leaving receives no new work later than 2 s after its drain began; what still waits is refused
-// earlier, so that a dispatch that is under way arrives in time.
-constexpr std::chrono::milliseconds queue_drain_time{1500};
+// What still waits when a drain begins is refused before the drain limit, so that a dispatch that is under way arrives
+// in time.
+core::duration queue_drain_time_of(const receiver_limits& values)
+{
+    return values.drain_limit * 3 / 4;
+}
 
 // Queued requests are checked at least this often, so that one whose deadline cannot be met is refused early.
 constexpr std::chrono::milliseconds expiry_interval{10};
@@ -100,6 +103,7 @@
                   })
 {
     this->bounds_starts = limits.bounds_starts;
+    this->queue_drain_time = queue_drain_time_of(limits);
     this->act_on(this->gate.set_limits(to_gate_limits(limits), owner.now()));
 }
 
@@ -200,6 +204,7 @@
         this->pool->set_connection_limit(this->connection_limit);
     }
     this->bounds_starts = limits.bounds_starts;
+    this->queue_drain_time = queue_drain_time_of(limits);
     this->act_on(this->gate.set_limits(to_gate_limits(limits), this->loop->now()));
 }
 
@@ -217,7 +222,7 @@
     this->accepting = value;
     if (!value)
     {
-        this->drain_timer.schedule(queue_drain_time);
+        this->drain_timer.schedule(this->queue_drain_time);
     }
     else if (!this->draining)
     {
@@ -245,7 +250,7 @@
 {
     this->draining = true;
     this->gate.drain();
-    this->drain_timer.schedule(queue_drain_time);
+    this->drain_timer.schedule(this->queue_drain_time);
 }
 
 core::load_report receiver::load() const
