--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -9,6 +9,7 @@
 
 #include "poplarport/admission/gate.hpp"
 #include "poplarport/membership/detail/member_table.hpp"
+#include "poplarport/routes/route_table.hpp"
 #include "poplarport/routing/router.hpp"
 #include "poplarport/routing/subset.hpp"
 
@@ -134,6 +135,44 @@
     state.SetComplexityN(state.range(0));
 }
 
+routes::configuration make_routes(std::int64_t count)
+{
+    constexpr std::int64_t routes_per_host = 20;
+    routes::configuration result;
+    for (std::int64_t index = 0; index < count; ++index)
+    {
+        routes::route route;
+        route.name = "route-" + std::to_string(index);
+        route.host = "host-" + std::to_string(index / routes_per_host) + ".example";
+        route.path_prefix = "/path-" + std::to_string(index) + "/";
+        route.destinations = {{"service", 1}};
+        result.routes.push_back(std::move(route));
+    }
+    return result;
+}
+
+void build_routes(benchmark::State& state)
+{
+    const auto source = make_routes(state.range(0));
+    for (auto step : state)
+    {
+        (void)step;
+        benchmark::DoNotOptimize(routes::route_table{source}.version());
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void find_route(benchmark::State& state)
+{
+    const routes::route_table table{make_routes(state.range(0))};
+    for (auto step : state)
+    {
+        (void)step;
+        benchmark::DoNotOptimize(table.find("host-0.example", "/path-1/a/b/c?x=1"));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
 void sizes(benchmark::internal::Benchmark* bench)
 {
     for (const std::int64_t size :
@@ -148,6 +187,8 @@
 BENCHMARK(admit)->Apply(sizes);
 BENCHMARK(merge)->Apply(sizes);
 BENCHMARK(subset)->Apply(sizes);
+BENCHMARK(build_routes)->Apply(sizes);
+BENCHMARK(find_route)->Apply(sizes);
 
 } // namespace
 
