Mend two linter findings in the tests of the mesh

Cause: a constant local that is returned, a vector that grows in a loop. Change: the local is not constant; the vector is reserved. Figures: clang-tidy reports nothing for unit-mesh_node.cpp. Conclusion: none beyond the above.

--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -155,7 +155,7 @@
     {
         http::request_head head{.method = "GET", .target = target};
         head.fields.add("Host", "a.example");
-        const auto connection =
+        auto connection =
             http::client_connection::connect(this->loop, entry.settings.listen.callers, std::chrono::seconds{5});
         connection->start(
             head, {.on_interim = {},
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -146,8 +146,10 @@
     CHECK(mesh.becomes(only, "/o/1", 200));
     only.holds_answers = true;
     int refused = 0;
+    constexpr std::size_t sent = 6;
     std::vector<std::shared_ptr<http::client_connection>> connections;
-    for (int request = 0; request < 6; ++request)
+    connections.reserve(sent);
+    for (std::size_t request = 0; request < sent; ++request)
     {
         connections.push_back(mesh.send(only, "/o/2", [&](int status) { refused += status == 503 ? 1 : 0; }));
     }
