--- a/libs/attempts/include/poplarport/attempts/call_settings.hpp
+++ b/libs/attempts/include/poplarport/attempts/call_settings.hpp
@@ -32,6 +32,8 @@
     /// Further attempts after a proof that no upstream received the request. They are sent at once, draw on no budget
     /// and do not count as attempts, because no upstream sees them.
     std::uint32_t free_retries{0};
+    /// Whether the one free redirect also follows a refusal by the upstream itself.
+    bool redirects_after_shed{true};
     /// Upper bound of the random wait before the second retry; doubles with each further one.
     core::duration backoff{std::chrono::milliseconds{1}};
 };
--- a/libs/attempts/src/call.cpp
+++ b/libs/attempts/src/call.cpp
@@ -273,7 +273,8 @@
     }
     const auto* refusal = std::get_if<refused>(&event);
     const auto better = refusal != nullptr ? this->untried(refusal->better) : std::nullopt;
-    if (better && !this->redirected && spared_upstream(event, result))
+    const bool redirects = this->limits.redirects_after_shed || spared_upstream(event, result);
+    if (better && !this->redirected && redirects)
     {
         this->redirected = true;
         actions.emplace_back(start_attempt{this->open_attempt(now, better)});
--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -188,6 +188,7 @@
     attempts::call_limits limits;
     limits.attempts = std::max(route.attempts, 1U);
     limits.free_retries = free_retries;
+    limits.redirects_after_shed = false;
     node::call_driver::hooks driver_hooks;
     driver_hooks.open = this->events.open;
     driver_hooks.retry_after = [](const node::call_description&) -> std::optional<core::duration>
