Use one piece for what the mesh node wrote again

Cause: read of the whole change. The mesh node showed peers the cluster's secret itself, where poplar-node derives a key from it; the number in a query, the rule of the secret, the threshold of a slow VM, durations in log records and the time of the newest load report each stood twice; a table, a result code (1704) and a step in upstream_task were dead or copied. Change: node_identity.hpp with make_identity, query_number, cluster_secret_rule, detail/slow_vm.hpp, log_record::with for durations, receiver::load_age, upstream_task::set_slots; the dead parts are removed. Conclusion: no behaviour changes, but that the secret no longer travels.

--- a/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
+++ b/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
@@ -48,7 +48,6 @@
     node::node_identity identity;
     std::mt19937_64 random;
     observability::metrics metrics{};
-    std::shared_ptr<const routes::route_table> table{};
     std::vector<membership::member> members{};
     std::map<std::string, std::unique_ptr<node::service_router>> routers{};
     std::map<std::string, core::time_point> recent_callers{}; ///< by host
--- a/libs/mesh/include/poplarport/mesh/errors.hpp
+++ b/libs/mesh/include/poplarport/mesh/errors.hpp
@@ -15,7 +15,6 @@
     no_route = 1701,                ///< no route matches host and path
     authority_mismatch = 1702,      ///< the target names another host than Host
     malformed_configuration = 1703, ///< a configuration cannot be read
-    no_upstream = 1704,             ///< the service has no upstream that takes work
     unreadable_request = 1705       ///< the fields that name and limit a request cannot be read
 };
 
--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -66,6 +66,7 @@
 
   private:
     [[nodiscard]] node::receiver_limits limits() const;
+    void set_slots(std::uint32_t value);
     void check();
     void refresh(std::function<void()> done);
     void start_check();
@@ -85,7 +86,6 @@
     std::unique_ptr<node::receiver> receiving;
     routes::service rules{};
     core::time_point started_at;
-    core::time_point load_at{};
     std::uint32_t published_slowdown{100};
     std::uint32_t slots{1};
     int failed_checks{0};
--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -1,7 +1,7 @@
 #include "poplarport/mesh/entry.hpp"
 
 #include <algorithm> // max, min
-#include <chrono>    // microseconds, milliseconds
+#include <chrono>    // milliseconds
 #include <utility>   // move
 
 #include "poplarport/mesh/errors.hpp"
@@ -64,11 +64,6 @@
     return located_target{std::string{authority}, std::string{rest.substr(slash)}};
 }
 
-std::int64_t to_microseconds(core::duration value)
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
-}
-
 } // namespace
 
 entry::entry(net::event_loop& owner, const mesh_settings& values, const adapter& installation, std::mt19937_64& engine,
@@ -208,8 +203,8 @@
             .with("outcome", core::to_string(result.outcome))
             .with("code", result.code.value())
             .with("attempts", static_cast<std::int64_t>(result.attempts))
-            .with("took_us", to_microseconds(result.latency))
-            .with("time_left_us", to_microseconds(description.deadline - this->loop->now()))
+            .with("took_us", result.latency)
+            .with("time_left_us", description.deadline - this->loop->now())
             .write_limited(observability::log_level::info);
         this->end_call(number, description, result);
     };
--- a/libs/mesh/src/errors.cpp
+++ b/libs/mesh/src/errors.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<result::code_entry, 6> rows{{
+constexpr std::array<result::code_entry, 5> rows{{
     {1700, "no_configuration", "The node holds no configuration yet.",
      "The node has just started, and neither the store nor a peer has answered."},
     {1701, "no_route", "No route matches the request's host and path.",
@@ -17,8 +17,6 @@
      "The caller is faulty, or tries to reach another route than its proxies see."},
     {1703, "malformed_configuration", "A version of the configuration cannot be read; the former one stays in force.",
      "The object was written by another program, or was cut off."},
-    {1704, "no_upstream", "The service has no upstream that takes work.",
-     "All upstreams of the service are down, draining, or not known yet."},
     {1705, "unreadable_request", "The fields that name a request or limit its time cannot be read.",
      "The caller sends no request id, or a malformed time limit."},
 }};
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -1,7 +1,6 @@
 #include "poplarport/mesh/mesh_node.hpp"
 
 #include <algorithm>   // ranges::find
-#include <charconv>    // from_chars
 #include <chrono>      // milliseconds, seconds
 #include <string_view> // string_view
 #include <utility>     // exchange, move
@@ -66,19 +65,12 @@
     return self;
 }
 
-core::version parse_version(std::string_view text)
-{
-    core::version value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 } // namespace
 
 mesh_node::state::state(net::event_loop& owner, const mesh_settings& values, adapter installation,
                         std::function<void()> stopped_hook)
-    : loop(&owner), settings(values), site(std::move(installation)),
-      on_stopped(std::move(stopped_hook)), identity{values.id, values.availability_zone, values.cluster_secret},
+    : loop(&owner), settings(values), site(std::move(installation)), on_stopped(std::move(stopped_hook)),
+      identity(node::make_identity(values.id, values.availability_zone, values.cluster_secret)),
       random(std::random_device{}()), drain_timer(owner, [this] { this->check_drained(); })
 {
     this->connect_upstream();
@@ -212,7 +204,6 @@
 
 void mesh_node::state::on_table(const std::shared_ptr<const routes::route_table>& value)
 {
-    this->table = value;
     this->callers->apply(value);
     for (const auto& each : value->source().services)
     {
@@ -336,7 +327,7 @@
     constexpr int not_found = 404;
     if (target.substr(0, target.find('?')) == config_path)
     {
-        return this->configuration->answer_pull(parse_version(node::detail::query_parameter(target, "above")));
+        return this->configuration->answer_pull(node::detail::query_number(target, "above"));
     }
     return {not_found, "text/plain", "no such document\n"};
 }
--- a/libs/mesh/src/settings.cpp
+++ b/libs/mesh/src/settings.cpp
@@ -3,13 +3,14 @@
 #include <algorithm>   // ranges::all_of
 #include <string_view> // string_view
 
+#include "poplarport/node/settings.hpp"
+
 namespace poplarport::mesh
 {
 
 namespace
 {
 
-constexpr std::size_t shortest_cluster_secret = 16;
 constexpr std::size_t greatest_name_length = 128;
 
 bool is_printable(std::string_view text)
@@ -29,15 +30,6 @@
     return rule;
 }
 
-const settings::text_rule& secret_rule()
-{
-    static const settings::text_rule rule{"at least 16 printable characters without spaces",
-                                          [](std::string_view text)
-                                          { return text.size() >= shortest_cluster_secret && is_printable(text); },
-                                          {}};
-    return rule;
-}
-
 settings::range<std::chrono::milliseconds> up_to(std::chrono::milliseconds greatest)
 {
     return {std::chrono::milliseconds{1}, greatest, std::nullopt};
@@ -58,7 +50,7 @@
     result.id = node.text("id", name_rule());
     result.service = node.text("service", name_rule());
     result.availability_zone = node.text("availability_zone", name_rule());
-    result.cluster_secret = node.text("cluster_secret", secret_rule());
+    result.cluster_secret = node.text("cluster_secret", node::cluster_secret_rule());
     const auto listen = root.child("listen");
     result.listen = {listen.address("callers"), listen.address("peers"), listen.address("registration"),
                      listen.address("readiness"), listen.address("metrics")};
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -98,6 +98,15 @@
     this->receiving->apply(this->limits());
 }
 
+void upstream_task::set_slots(std::uint32_t value)
+{
+    if (value != this->slots)
+    {
+        this->slots = value;
+        this->receiving->apply(this->limits());
+    }
+}
+
 void upstream_task::announce(const registration::announcement& value,
                              const std::function<void(std::error_code)>& acknowledge)
 {
@@ -121,11 +130,7 @@
     {
         this->set_down(false, "announced");
     }
-    if (value.slots != this->slots)
-    {
-        this->slots = value.slots;
-        this->receiving->apply(this->limits());
-    }
+    this->set_slots(value.slots);
     this->receiving->set_upstream(value.start.id);
     this->update("announcement");
     if (this->registry.departed() != departed_before)
@@ -164,7 +169,8 @@
 void upstream_task::check()
 {
     this->check_timer.schedule(check_interval);
-    const bool is_recent = this->loop->now() - this->load_at < check_interval;
+    const auto age = this->receiving->load_age();
+    const bool is_recent = age && *age < check_interval;
     const bool is_over = this->registry.current().state == registration::upstream_state::left;
     if (this->rules.health_path.empty() || this->is_checking || is_over || (is_recent && !this->is_down))
     {
@@ -226,8 +232,7 @@
     const bool can_adopt = answer->status == ok && report.load && report.load->slots > 0 && knows_past;
     if (can_adopt && this->registry.adopt(report.upstream, report.load->slots, this->loop->now()))
     {
-        this->slots = report.load->slots;
-        this->receiving->apply(this->limits());
+        this->set_slots(report.load->slots);
         this->receiving->set_upstream(current.start.id);
         this->update("status check");
         return;
@@ -275,7 +280,6 @@
 
 void upstream_task::handle_load(const node::upstream_load& load)
 {
-    this->load_at = this->loop->now();
     const auto now = std::max(load.slowdown_percent, 1U);
     const auto greater = std::max(now, this->published_slowdown);
     const auto smaller = std::min(now, this->published_slowdown);
--- a/libs/node/include/poplarport/node/detail/document_pull.hpp
+++ b/libs/node/include/poplarport/node/detail/document_pull.hpp
@@ -51,7 +51,7 @@
 /// @param[in] above version that the other node holds
 [[nodiscard]] peer_document make_document_answer(const configuration::document* held, core::version above);
 
-/// @brief Returns the value of a parameter of a query, or an empty text.
-[[nodiscard]] std::string_view query_parameter(std::string_view target, std::string_view name);
+/// @brief Returns the number in a parameter of a query, or zero.
+[[nodiscard]] std::uint64_t query_number(std::string_view target, std::string_view name);
 
 } // namespace poplarport::node::detail
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -131,6 +131,9 @@
     /// @return load of the local upstream
     [[nodiscard]] core::load_report load() const;
 
+    /// @return time since the upstream's newest load report; nothing when it has sent none
+    [[nodiscard]] std::optional<core::duration> load_age() const;
+
     /// @return counters since the start
     [[nodiscard]] const counters& statistics() const noexcept
     {
--- a/libs/node/include/poplarport/node/service_router.hpp
+++ b/libs/node/include/poplarport/node/service_router.hpp
@@ -15,6 +15,7 @@
 #include "poplarport/membership/member.hpp"
 #include "poplarport/net/event_loop.hpp"
 #include "poplarport/node/call_driver.hpp"
+#include "poplarport/node/node_identity.hpp"
 #include "poplarport/node/receiver.hpp"
 #include "poplarport/peer/link.hpp"
 #include "poplarport/routing/router.hpp"
@@ -22,14 +23,6 @@
 namespace poplarport::node
 {
 
-/// @brief Identity of a node, from its settings.
-struct node_identity
-{
-    core::node_id id;
-    std::string availability_zone;
-    std::string cluster_key; ///< shown to peers with each call
-};
-
 /// @brief What the configuration says of the routing to a service.
 struct routing_rules
 {
--- a/libs/node/include/poplarport/node/settings.hpp
+++ b/libs/node/include/poplarport/node/settings.hpp
@@ -29,6 +29,9 @@
     std::string log_level{"info"};
 };
 
+/// @return the rule for the secret that all nodes share
+[[nodiscard]] const settings::text_rule& cluster_secret_rule();
+
 /// @brief Reads the settings; faults are recorded in the document.
 [[nodiscard]] node_settings read_settings(const settings::document& document);
 
--- a/libs/node/src/document_pull.cpp
+++ b/libs/node/src/document_pull.cpp
@@ -1,8 +1,9 @@
 #include "poplarport/node/detail/document_pull.hpp"
 
-#include <memory>  // make_shared
-#include <utility> // move
-#include <vector>  // vector
+#include <charconv> // from_chars
+#include <memory>   // make_shared
+#include <utility>  // move
+#include <vector>   // vector
 
 #include <nlohmann/json.hpp>
 
@@ -32,6 +33,23 @@
     return pulled_document{value["version"].get<core::version>(), value["content"].get<std::string>()};
 }
 
+std::string_view query_parameter(std::string_view target, std::string_view name)
+{
+    const auto question = target.find('?');
+    auto rest = question == std::string_view::npos ? std::string_view{} : target.substr(question + 1);
+    while (!rest.empty())
+    {
+        const auto end = rest.find('&');
+        const auto part = rest.substr(0, end);
+        if (part.size() > name.size() && part.starts_with(name) && part[name.size()] == '=')
+        {
+            return part.substr(name.size() + 1);
+        }
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+    }
+    return {};
+}
+
 } // namespace
 
 void request_document(peer::link& link, const std::string& cluster_key, const std::string& target,
@@ -98,21 +116,12 @@
     return {ok, cbor_type, std::string{bytes.begin(), bytes.end()}};
 }
 
-std::string_view query_parameter(std::string_view target, std::string_view name)
+std::uint64_t query_number(std::string_view target, std::string_view name)
 {
-    const auto question = target.find('?');
-    auto rest = question == std::string_view::npos ? std::string_view{} : target.substr(question + 1);
-    while (!rest.empty())
-    {
-        const auto end = rest.find('&');
-        const auto part = rest.substr(0, end);
-        if (part.size() > name.size() && part.starts_with(name) && part[name.size()] == '=')
-        {
-            return part.substr(name.size() + 1);
-        }
-        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
-    }
-    return {};
+    const auto text = query_parameter(target, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
 }
 
 } // namespace poplarport::node::detail
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/node/detail/local_channel.hpp"
 
-#include <chrono>  // duration_cast, microseconds
+#include <chrono>  // microseconds
 #include <utility> // exchange, move
 #include <variant> // holds_alternative
 
@@ -237,24 +237,21 @@
     }
     const auto now = this->owner->loop->now();
     const bool was_sent = this->dispatched_at != core::time_point{};
-    const auto to_us = [](core::duration value)
-    {
-        return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
-    };
+    constexpr core::duration unknown_age = std::chrono::microseconds{-1};
     const auto load = this->owner->load();
     observability::log_record{"attempt_ended"}
         .with("id", this->call.id)
         .with("upstream", this->owner->identity)
         .with("sent", was_sent ? "true" : "false")
-        .with("waited_us", to_us((was_sent ? this->dispatched_at : now) - this->offered_at))
-        .with("ran_us", was_sent ? to_us(now - this->dispatched_at) : 0)
+        .with("waited_us", (was_sent ? this->dispatched_at : now) - this->offered_at)
+        .with("ran_us", was_sent ? now - this->dispatched_at : core::duration{0})
         .with("code", reason.value())
         .with("slots", load.slots)
         .with("in_flight", load.in_flight)
         .with("queued", load.queued)
         .with("slowdown_percent", load.slowdown_percent)
-        .with("load_age_us", this->owner->load_at ? to_us(now - *this->owner->load_at) : -1)
-        .with("time_left_us", to_us(this->call.deadline - now))
+        .with("load_age_us", this->owner->load_age().value_or(unknown_age))
+        .with("time_left_us", this->call.deadline - now)
         .write_limited(observability::log_level::debug);
 }
 
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -1,15 +1,11 @@
 #include "poplarport/node/node.hpp"
 
 #include <algorithm>   // max, min, ranges::all_of
-#include <array>       // array
-#include <charconv>    // from_chars
 #include <chrono>      // milliseconds, seconds
 #include <random>      // random_device
 #include <string_view> // string_view
 #include <utility>     // move
 
-#include <openssl/evp.h>
-
 #include "poplarport/manifest/errors.hpp"
 #include "poplarport/node/detail/document_pull.hpp"
 #include "poplarport/node/detail/node_state.hpp"
@@ -34,31 +30,6 @@
 constexpr std::chrono::seconds called_services_grace{2};
 constexpr std::chrono::seconds default_drain_time{30};
 
-// The key that is shown to peers is derived from the secret, so that the secret itself never travels.
-std::string derive_cluster_key(const std::string& secret)
-{
-    constexpr std::string_view purpose = "poplarport peer key 1:";
-    const std::string input = std::string{purpose} + secret;
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    EVP_Digest(input.data(), input.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    for (unsigned int index = 0; index < length; ++index)
-    {
-        text += digits[digest.at(index) >> 4U];
-        text += digits[digest.at(index) & 0xfU];
-    }
-    return text;
-}
-
-std::uint64_t parse_number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 measuring::budget empty_budget(core::time_point now)
 {
     return measuring::budget::builder{}.bytes(0).processor_time(std::chrono::nanoseconds{0}).build(now);
@@ -67,9 +38,8 @@
 } // namespace
 
 node::state::state(net::event_loop& owner, const node_settings& values, std::function<void()> stopped_hook)
-    : loop(&owner), settings(values),
-      on_stopped(std::move(stopped_hook)), identity{values.id, values.availability_zone,
-                                                    derive_cluster_key(values.cluster_secret)},
+    : loop(&owner), settings(values), on_stopped(std::move(stopped_hook)),
+      identity(make_identity(values.id, values.availability_zone, values.cluster_secret)),
       random(std::random_device{}()), platform(owner, values.platform), measuring_budget(empty_budget(owner.now())),
       drain_timer(owner, [this] { this->check_drained(); }), drain_time(default_drain_time)
 {
@@ -304,11 +274,11 @@
     if (path.starts_with(config_prefix))
     {
         return this->configuration->answer_pull(std::string{path.substr(config_prefix.size())},
-                                                parse_number(detail::query_parameter(target, "above")));
+                                                detail::query_number(target, "above"));
     }
     if (path.starts_with(members_prefix) && path.substr(members_prefix.size()) == this->settings.service)
     {
-        return this->membership->answer_pull(parse_number(detail::query_parameter(target, "hash")));
+        return this->membership->answer_pull(detail::query_number(target, "hash"));
     }
     return {not_found, "text/plain", "no such document\n"};
 }
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -5,6 +5,7 @@
 #include <utility>   // move
 
 #include "poplarport/node/detail/local_channel.hpp"
+#include "poplarport/node/detail/slow_vm.hpp"
 #include "poplarport/node/detail/status_check.hpp"
 #include "poplarport/node/errors.hpp"
 
@@ -28,9 +29,6 @@
 // an older report is renewed before a request starts; the upstream answers within about a millisecond.
 constexpr std::chrono::milliseconds load_lifetime{15};
 
-// From this duration of work, in percent of the usual one, a request is better served elsewhere.
-constexpr std::uint32_t slow_percent = 200;
-
 // Classes whose service times are remembered; the others are taken for short.
 constexpr std::size_t greatest_classes = 1024;
 
@@ -184,12 +182,17 @@
 
 bool receiver::is_load_outdated() const
 {
-    return this->load_at && this->events.refresh_load && this->loop->now() - *this->load_at > load_lifetime;
+    return this->events.refresh_load && this->load_age() > load_lifetime;
+}
+
+std::optional<core::duration> receiver::load_age() const
+{
+    return this->load_at ? std::optional{this->loop->now() - *this->load_at} : std::nullopt;
 }
 
 std::vector<core::node_id> receiver::faster_peers() const
 {
-    if (this->slowdown_percent < slow_percent || !this->usual_time)
+    if (this->slowdown_percent < detail::slow_percent || !this->usual_time)
     {
         return {};
     }
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -5,6 +5,7 @@
 #include <utility>   // exchange, move
 
 #include "poplarport/node/detail/peer_channel.hpp"
+#include "poplarport/node/detail/slow_vm.hpp"
 #include "poplarport/observability/log_record.hpp"
 #include "poplarport/peer/call_metadata.hpp"
 #include "poplarport/routing/subset.hpp"
@@ -29,9 +30,6 @@
 // find a shorter wait elsewhere, which outweighs the hop.
 constexpr double local_utilization_limit = 0.75;
 
-// A call leaves its own VM while work takes this many percent of its usual time there.
-constexpr std::uint32_t slow_percent = 200;
-
 std::chrono::microseconds own_clock(core::time_point now)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
@@ -239,8 +237,8 @@
         .with("queued", known.report.queued)
         .with("slowdown_percent", known.report.slowdown_percent)
         .with("own_calls", static_cast<std::int64_t>(known.own_calls))
-        .with("report_age_us", std::chrono::duration_cast<std::chrono::microseconds>(known.age).count())
-        .with("time_left_us", std::chrono::duration_cast<std::chrono::microseconds>(parameters.time_left).count())
+        .with("report_age_us", known.age)
+        .with("time_left_us", parameters.time_left)
         .write_limited(observability::log_level::debug);
 }
 
@@ -267,7 +265,7 @@
         return false;
     }
     const auto load = this->local->load();
-    return !load.draining && load.slowdown_percent < slow_percent &&
+    return !load.draining && load.slowdown_percent < detail::slow_percent &&
            static_cast<double>(load.in_flight + load.queued) <
                local_utilization_limit * static_cast<double>(load.slots);
 }
--- a/libs/node/src/settings.cpp
+++ b/libs/node/src/settings.cpp
@@ -25,7 +25,9 @@
     return rule;
 }
 
-const settings::text_rule& secret_rule()
+} // namespace
+
+const settings::text_rule& cluster_secret_rule()
 {
     static const settings::text_rule rule{"at least 16 printable characters without spaces",
                                           [](std::string_view text)
@@ -38,8 +40,6 @@
     return rule;
 }
 
-} // namespace
-
 node_settings read_settings(const settings::document& document)
 {
     constexpr std::int64_t least_descriptors = 256;
@@ -51,7 +51,7 @@
     result.id = node.text("id", name_rule());
     result.service = node.text("service", name_rule());
     result.availability_zone = node.text("availability_zone", name_rule());
-    result.cluster_secret = node.text("cluster_secret", secret_rule());
+    result.cluster_secret = node.text("cluster_secret", cluster_secret_rule());
     const auto listen = root.child("listen");
     result.callers = listen.address("callers");
     result.peers = listen.address("peers");
--- a/libs/observability/include/poplarport/observability/log_record.hpp
+++ b/libs/observability/include/poplarport/observability/log_record.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>      // nanoseconds
 #include <cstdint>     // int64_t, uint64_t
 #include <memory>      // unique_ptr
 #include <string>      // string
@@ -62,6 +63,9 @@
     /// @brief Adds a numeric field.
     log_record& with(std::string_view name, std::int64_t value);
 
+    /// @brief Adds a duration, in microseconds; the name ends with `_us`.
+    log_record& with(std::string_view name, std::chrono::nanoseconds value);
+
     /// @brief Writes the record.
     void write(log_level level) const;
 
--- a/libs/observability/src/log_record.cpp
+++ b/libs/observability/src/log_record.cpp
@@ -180,6 +180,11 @@
     return *this;
 }
 
+log_record& log_record::with(std::string_view name, std::chrono::nanoseconds value)
+{
+    return this->with(name, std::chrono::duration_cast<std::chrono::microseconds>(value).count());
+}
+
 std::string log_record::text() const
 {
     // Bytes that are not UTF-8 are replaced, so that a damaged value cannot stop the record.
