Run pipelined repeatable requests of a connection side by side

Cause: callers that pipeline (kit-info, cutlist-read) waited for the answer to the request before theirs, because a connection parsed its next request only after the answer. The nodes' own records showed a median of 368 ms for kit-info where its callers measured 643 ms. Ruled out: slow upstreams (the attempts ran 360 ms in the median), queues at the receiver (0.2 ms), the links (answers have 1.5 KB). Change: http::server::builder::overlap_if; requests without a body that the hook allows start while earlier ones of the same kind run, at most 16, and their answers are held until it is their turn. The mesh allows it for repeatable routes. A draining connection is closed by the last answer that was begun; a faulty request is refused behind the answers before it.

--- a/libs/http/include/poplarport/http/detail/server_connection.hpp
+++ b/libs/http/include/poplarport/http/detail/server_connection.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <deque>         // deque
 #include <memory>        // enable_shared_from_this, shared_ptr, weak_ptr
+#include <optional>      // optional
+#include <string>        // string
 #include <system_error>  // error_code
 #include <unordered_set> // unordered_set
 
@@ -29,6 +32,7 @@
     limits chosen{};
     request_hook request{};
     refusal_hook refusal{};
+    overlap_hook overlap{};
     core::socket_address bound{};
     bool draining{false};
     std::unordered_set<std::shared_ptr<detail::server_connection>> connections{};
@@ -40,7 +44,10 @@
 
 class connection_exchange;
 
-/// @brief One caller's connection: parses its requests one after the other and writes their answers.
+/// @brief One caller's connection: parses its requests and writes their answers in the same order.
+///
+/// Requests that may overlap start before the answers to earlier ones are complete; their answers are held back until
+/// it is their turn.
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
   public:
@@ -49,7 +56,7 @@
     /// @brief Sets the socket's hooks.
     void start();
 
-    /// @brief Closes at once and tells the exchange in progress.
+    /// @brief Closes at once and tells the exchanges in progress.
     void close(std::error_code reason);
 
     /// @brief Closes the connection when no request is in progress on it.
@@ -62,17 +69,24 @@
     void handle_timeout();
     void process();
     bool process_step();
+    [[nodiscard]] bool can_parse() const;
+    [[nodiscard]] bool can_begin();
+    [[nodiscard]] bool may_overlap(const request_head& head) const;
+    bool take(const parse_step& step);
     bool begin_exchange();
     void deliver(const parse_step& step);
     void refuse(std::error_code error);
-    void end_exchange();
+    bool end_answered();
+    void cancel_exchanges(std::error_code reason);
     void close_after_output();
     void arm_timer();
 
     server::state* owner;
     std::unique_ptr<net::stream_socket> socket;
     message_parser parser;
-    std::shared_ptr<connection_exchange> current{};
+    std::deque<std::shared_ptr<connection_exchange>> exchanges{}; ///< in progress; the first one is being answered
+    std::optional<parse_step> waiting{}; ///< a parsed head that starts after the exchanges in progress
+    std::error_code fault{};             ///< of the request behind the exchanges in progress
     net::timer timeout;
     bool processing{false};
     bool reading{true};
@@ -80,11 +94,15 @@
     bool lingering{false};
 };
 
-/// @brief The exchange in progress on a connection.
+/// @brief An exchange in progress on a connection.
 class connection_exchange final : public server_exchange
 {
   public:
-    connection_exchange(std::weak_ptr<server_connection> carrier, request_head received);
+    /// @param[in] carrier  the connection
+    /// @param[in] received head of the request
+    /// @param[in] overlaps whether later requests may start before this one is answered
+    /// @param[in] is_first whether no earlier request is in progress on the connection
+    connection_exchange(std::weak_ptr<server_connection> carrier, request_head received, bool overlaps, bool is_first);
 
     [[nodiscard]] const request_head& request() const noexcept override;
     void set_hooks(hooks values) override;
@@ -101,8 +119,22 @@
   private:
     friend class server_connection;
 
+    /// What was sent of an answer while earlier requests are in progress.
+    struct held_answer
+    {
+        std::optional<response_head> head{};
+        std::string body{};
+        bool finished{false};
+        bool aborted{false};
+    };
+
+    void release_held();
+    [[nodiscard]] bool is_over() const noexcept;
+
     std::weak_ptr<server_connection> connection;
     request_head head;
+    bool may_overlap;
+    std::optional<held_answer> held{};
     std::shared_ptr<hooks> events{std::make_shared<hooks>()};
     bool body_received{false};
     bool head_sent{false};
--- a/libs/http/include/poplarport/http/server.hpp
+++ b/libs/http/include/poplarport/http/server.hpp
@@ -79,6 +79,7 @@
   public:
     using request_hook = std::function<void(std::shared_ptr<server_exchange>)>;
     using refusal_hook = std::function<void(std::error_code, response_head&)>;
+    using overlap_hook = std::function<bool(const request_head&)>;
 
     /// @brief Limits of a server.
     struct limits
@@ -145,6 +146,12 @@
     /// @param[in] hook may add fields to the answer to a request that the parser refuses
     builder& on_refusal(refusal_hook hook);
 
+    /// @brief Lets pipelined requests run at the same time; without it they run one after the other.
+    ///
+    /// Answers keep the order of the requests. Requests with a body never overlap.
+    /// @param[in] hook tells whether a request may run beside others of its connection (RFC 9112, section 9.3.2)
+    builder& overlap_if(overlap_hook hook);
+
     /// @param[in] values limits of the server
     builder& with_limits(const limits& values);
 
@@ -158,6 +165,7 @@
     net::listen_mode mode{net::listen_mode::at_once};
     request_hook request{};
     refusal_hook refusal{};
+    overlap_hook overlap{};
     limits chosen{};
 };
 
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -125,6 +125,12 @@
     return *this;
 }
 
+server::builder& server::builder::overlap_if(overlap_hook hook)
+{
+    this->overlap = std::move(hook);
+    return *this;
+}
+
 server::builder& server::builder::with_limits(const limits& values)
 {
     this->chosen = values;
@@ -138,6 +144,7 @@
     shared->chosen = this->chosen;
     shared->request = this->request;
     shared->refusal = this->refusal;
+    shared->overlap = this->overlap;
     auto* const target = shared.get();
     shared->accepting = std::make_unique<net::listener>(
         loop, this->listen_address,
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "poplarport/http/detail/server_connection.hpp"
 
 #include <chrono>  // seconds
+#include <cstddef> // size_t
 #include <utility> // exchange, move
 
 #include "poplarport/http/errors.hpp"
@@ -15,6 +16,9 @@
 // the connection and could destroy the answer.
 constexpr std::chrono::seconds linger_time{2};
 
+// Overlapping requests of one connection; a caller that pipelines more of them waits for answers.
+constexpr std::size_t greatest_overlap = 16;
+
 } // namespace
 
 server_connection::server_connection(server::state& server, std::unique_ptr<net::stream_socket> accepted)
@@ -31,9 +35,9 @@
                                  [this]
                              {
                                  const auto keep = this->shared_from_this();
-                                 if (this->current && this->current->events->on_writable)
+                                 if (!this->exchanges.empty() && this->exchanges.front()->events->on_writable)
                                  {
-                                     const auto running = this->current->events;
+                                     const auto running = this->exchanges.front()->events;
                                      running->on_writable();
                                  }
                              },
@@ -55,8 +59,13 @@
     this->closed = true;
     this->timeout.cancel();
     this->socket->close();
-    const auto exchange = std::exchange(this->current, nullptr);
-    if (exchange && !exchange->ended)
+    this->cancel_exchanges(reason);
+    this->owner->connections.erase(keep);
+}
+
+void server_connection::cancel_exchanges(std::error_code reason)
+{
+    for (const auto& exchange : std::exchange(this->exchanges, {}))
     {
         exchange->ended = true;
         const auto running = std::exchange(exchange->events, std::make_shared<server_exchange::hooks>());
@@ -65,12 +74,12 @@
             running->on_cancelled(reason);
         }
     }
-    this->owner->connections.erase(keep);
 }
 
 void server_connection::close_if_idle()
 {
-    if (!this->lingering && !this->current && !this->parser.has_started() && this->parser.unused_bytes() == 0)
+    const bool is_idle = this->exchanges.empty() && !this->waiting && !this->parser.has_started();
+    if (!this->lingering && is_idle && this->parser.unused_bytes() == 0)
     {
         // The caller may have sent a request that has not arrived yet. It is not run, and with an answer that says so
         // its caller need not take the end of the connection for an unknown outcome (RFC 9110, section 15.5.9).
@@ -107,7 +116,7 @@
         return;
     }
     this->processing = true;
-    while (!this->closed && !this->lingering && this->process_step())
+    while (this->end_answered() || (!this->closed && !this->lingering && this->process_step()))
     {
     }
     this->processing = false;
@@ -121,12 +130,16 @@
 
 bool server_connection::process_step()
 {
-    if (this->current && (this->current->body_received || !this->reading))
+    if (this->waiting)
+    {
+        return this->can_begin() && this->take(*std::exchange(this->waiting, std::nullopt));
+    }
+    if (!this->can_parse())
     {
         return false;
     }
     const bool was_started = this->parser.has_started();
-    const auto step = this->parser.step();
+    auto step = this->parser.step();
     if (step.error)
     {
         this->refuse(step.error);
@@ -136,21 +149,60 @@
     {
         this->arm_timer();
     }
+    if (step.head_complete && !this->can_begin())
+    {
+        this->timeout.cancel();
+        this->waiting = std::move(step);
+        return false;
+    }
+    return this->take(step);
+}
+
+bool server_connection::can_parse() const
+{
+    if (this->exchanges.empty())
+    {
+        return true;
+    }
+    const auto& newest = *this->exchanges.back();
+    if (!newest.body_received)
+    {
+        return this->reading;
+    }
+    // The last answer before a stop closes the connection, so no other request is taken behind it.
+    return newest.may_overlap && !this->fault && !this->owner->draining && this->exchanges.size() < greatest_overlap;
+}
+
+bool server_connection::can_begin()
+{
+    return this->exchanges.empty() || (this->may_overlap(this->parser.request()) && !this->owner->draining);
+}
+
+bool server_connection::may_overlap(const request_head& head) const
+{
+    const bool keeps_connection = head.keep_alive && head.minor_version > 0;
+    return keeps_connection && head.framing == body_framing::none && this->owner->overlap && this->owner->overlap(head);
+}
+
+bool server_connection::take(const parse_step& step)
+{
     const bool goes_on = !step.needs_more || step.message_complete;
     if (step.head_complete && !this->begin_exchange())
     {
         return false;
     }
     this->deliver(step);
-    return goes_on;
+    return goes_on || (!this->exchanges.empty() && this->exchanges.front()->ended);
 }
 
 bool server_connection::begin_exchange()
 {
     this->timeout.cancel();
-    const auto exchange =
-        std::make_shared<connection_exchange>(this->weak_from_this(), std::move(this->parser.request()));
-    this->current = exchange;
+    auto head = std::move(this->parser.request());
+    const bool overlaps = this->may_overlap(head);
+    const auto exchange = std::make_shared<connection_exchange>(this->weak_from_this(), std::move(head), overlaps,
+                                                                this->exchanges.empty());
+    this->exchanges.push_back(exchange);
     this->owner->request(exchange);
     if (this->closed || this->lingering)
     {
@@ -168,11 +220,11 @@
 
 void server_connection::deliver(const parse_step& step)
 {
-    const auto exchange = this->current;
-    if (!exchange)
+    if (this->exchanges.empty())
     {
         return;
     }
+    const auto exchange = this->exchanges.back();
     if (step.message_complete)
     {
         exchange->body_received = true;
@@ -186,25 +238,22 @@
     {
         running->on_body_end();
     }
-    if (exchange->ended && this->current == exchange)
+    if (step.message_complete)
     {
-        this->end_exchange();
+        this->parser.start();
     }
 }
 
 void server_connection::refuse(std::error_code error)
 {
-    const auto exchange = std::exchange(this->current, nullptr);
-    const bool can_answer = !exchange || !exchange->head_sent;
-    if (exchange && !exchange->ended)
+    if (!this->exchanges.empty() && this->exchanges.back()->body_received)
     {
-        exchange->ended = true;
-        const auto running = std::exchange(exchange->events, std::make_shared<server_exchange::hooks>());
-        if (running->on_cancelled)
-        {
-            running->on_cancelled(error);
-        }
+        // The fault is in a later request, whose refusal follows the answers to the earlier ones.
+        this->fault = error;
+        return;
     }
+    const bool can_answer = this->exchanges.empty() || !this->exchanges.front()->head_sent;
+    this->cancel_exchanges(error);
     if (this->closed)
     {
         return;
@@ -226,18 +275,35 @@
     this->close_after_output();
 }
 
-void server_connection::end_exchange()
+bool server_connection::end_answered()
 {
-    const auto exchange = std::exchange(this->current, nullptr);
+    const bool is_over = this->closed || this->lingering;
+    if (is_over || this->exchanges.empty() || !this->exchanges.front()->ended)
+    {
+        return false;
+    }
+    const auto exchange = std::move(this->exchanges.front());
+    this->exchanges.pop_front();
     if (!exchange->body_received || !exchange->keep_alive)
     {
         this->close_after_output();
-        return;
+        this->cancel_exchanges(net::errc::connection_closed);
+        return false;
+    }
+    if (!this->exchanges.empty())
+    {
+        const auto next = this->exchanges.front();
+        next->release_held();
+        return true;
+    }
+    if (this->fault)
+    {
+        this->refuse(this->fault);
+        return false;
     }
-    this->parser.start();
     this->reading = true;
     this->arm_timer();
-    this->process();
+    return true;
 }
 
 void server_connection::close_after_output()
@@ -254,9 +320,14 @@
     this->timeout.schedule(this->parser.has_started() ? chosen.header_timeout : chosen.idle_timeout);
 }
 
-connection_exchange::connection_exchange(std::weak_ptr<server_connection> carrier, request_head received)
-    : connection(std::move(carrier)), head(std::move(received))
+connection_exchange::connection_exchange(std::weak_ptr<server_connection> carrier, request_head received, bool overlaps,
+                                         bool is_first)
+    : connection(std::move(carrier)), head(std::move(received)), may_overlap(overlaps)
 {
+    if (!is_first)
+    {
+        this->held.emplace();
+    }
 }
 
 const request_head& connection_exchange::request() const noexcept
@@ -272,7 +343,7 @@
 void connection_exchange::set_reading(bool enabled)
 {
     const auto carrier = this->connection.lock();
-    if (!carrier || this->ended || carrier->closed || carrier->reading == enabled)
+    if (!carrier || this->is_over() || this->body_received || carrier->closed || carrier->reading == enabled)
     {
         return;
     }
@@ -283,7 +354,7 @@
 void connection_exchange::send_interim(const response_head& interim)
 {
     const auto carrier = this->connection.lock();
-    if (carrier && !this->ended && !this->head_sent && this->head.minor_version > 0)
+    if (carrier && !this->ended && !this->held && !this->head_sent && this->head.minor_version > 0)
     {
         carrier->socket->send(serialize(interim));
     }
@@ -292,16 +363,22 @@
 void connection_exchange::send_head(response_head answer)
 {
     const auto carrier = this->connection.lock();
-    if (!carrier || this->ended || this->head_sent)
+    if (!carrier || this->is_over() || this->head_sent)
     {
         return;
     }
+    if (this->held)
+    {
+        this->held->head = std::move(answer);
+        return;
+    }
     this->head_sent = true;
     if (answer.framing == body_framing::chunked && this->head.minor_version == 0)
     {
         answer.framing = body_framing::until_close;
     }
-    const bool is_last = answer.framing == body_framing::until_close || carrier->owner->draining;
+    const bool stops_here = carrier->owner->draining && carrier->exchanges.size() <= 1;
+    const bool is_last = answer.framing == body_framing::until_close || stops_here;
     answer.keep_alive = answer.keep_alive && this->head.keep_alive && this->head.minor_version > 0 && !is_last &&
                         (this->body_received || this->head.framing != body_framing::none);
     this->framing = answer.framing;
@@ -314,7 +391,16 @@
 void connection_exchange::send_body(std::string_view bytes)
 {
     const auto carrier = this->connection.lock();
-    if (!carrier || this->ended || !this->head_sent || !this->body_allowed || bytes.empty())
+    if (!carrier || this->is_over() || bytes.empty())
+    {
+        return;
+    }
+    if (this->held)
+    {
+        this->held->body.append(bytes);
+        return;
+    }
+    if (!this->head_sent || !this->body_allowed)
     {
         return;
     }
@@ -338,8 +424,14 @@
 void connection_exchange::finish()
 {
     const auto carrier = this->connection.lock();
-    if (!carrier || this->ended)
+    if (!carrier || this->is_over())
+    {
+        return;
+    }
+    if (this->held)
     {
+        this->held->finished = true;
+        this->events = std::make_shared<hooks>();
         return;
     }
     const bool is_short = this->framing == body_framing::fixed && this->remaining != 0 && this->body_allowed;
@@ -354,28 +446,68 @@
     }
     this->ended = true;
     this->events = std::make_shared<hooks>();
-    if (!carrier->processing && carrier->current.get() == this)
-    {
-        carrier->end_exchange();
-    }
+    carrier->process();
 }
 
 void connection_exchange::abort()
 {
     const auto carrier = this->connection.lock();
-    if (!carrier || this->ended)
+    if (!carrier || this->is_over())
     {
         return;
     }
-    this->ended = true;
     this->events = std::make_shared<hooks>();
+    if (this->held)
+    {
+        this->held->aborted = true;
+        return;
+    }
+    this->ended = true;
     // A caller that reads until the end of the connection must not take an aborted answer for a whole one.
     carrier->socket->reset();
     carrier->close(net::errc::connection_reset);
 }
 
+bool connection_exchange::is_over() const noexcept
+{
+    return this->ended || (this->held && (this->held->finished || this->held->aborted));
+}
+
+// The answers to the earlier requests are complete: sends what this answer has so far.
+void connection_exchange::release_held()
+{
+    auto answer = std::move(*this->held);
+    this->held.reset();
+    if (answer.aborted)
+    {
+        // No byte was sent, so the end of the connection says that there is no answer.
+        this->keep_alive = false;
+        this->ended = true;
+        return;
+    }
+    if (answer.head)
+    {
+        this->send_head(std::move(*answer.head));
+        this->send_body(answer.body);
+    }
+    if (answer.finished)
+    {
+        this->finish();
+        return;
+    }
+    const auto running = this->events;
+    if (running->on_writable)
+    {
+        running->on_writable();
+    }
+}
+
 std::size_t connection_exchange::pending_bytes() const noexcept
 {
+    if (this->held)
+    {
+        return this->held->body.size();
+    }
     const auto carrier = this->connection.lock();
     return carrier && !carrier->closed ? carrier->socket->pending_bytes() : 0;
 }
--- a/libs/mesh/include/poplarport/mesh/entry.hpp
+++ b/libs/mesh/include/poplarport/mesh/entry.hpp
@@ -84,6 +84,7 @@
     };
 
     void handle_request(const std::shared_ptr<http::server_exchange>& exchange);
+    [[nodiscard]] bool is_repeatable(const http::request_head& head) const;
     [[nodiscard]] std::optional<call_context> identify(http::server_exchange& exchange);
     void begin_call(const std::shared_ptr<http::server_exchange>& exchange, const call_context& context);
     void end_call(std::uint64_t number, const node::call_description& description, const node::call_result& result);
--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -76,6 +76,7 @@
             .on_request([this](const std::shared_ptr<http::server_exchange>& exchange)
                         { this->handle_request(exchange); })
             .on_refusal([this](std::error_code reason, http::response_head&) { this->events.on_refused(reason); })
+            .overlap_if([this](const http::request_head& head) { return this->is_repeatable(head); })
             .build(owner));
 }
 
@@ -124,6 +125,13 @@
     this->begin_call(exchange, *context);
 }
 
+bool entry::is_repeatable(const http::request_head& head) const
+{
+    const auto target = this->table ? locate(head) : std::nullopt;
+    const auto* const route = target ? this->table->find(target->host, target->path) : nullptr;
+    return route != nullptr && route->repeatable;
+}
+
 std::optional<entry::call_context> entry::identify(http::server_exchange& exchange)
 {
     const auto& head = exchange.request();
