Bound what gossip costs between availability zones

Each raised configuration version was a revision of the member's entry, which every member passed on 18 times: 61 updates of about 165 KB for each change. At the start each node exchanged whole lists with every address in the store, and load notices went to all nodes of the service. Ruled out: calls between zones (2,753 of 11,497 attempts, about 3 MB of 22). Change: a version travels in the headers of its holder's own messages and changes no revision (member_change::configured); news leaves a zone in about eight copies; four introductions at a start; 1.4 instead of 3 times log2(n) copies in the mesh; pulls of the configuration within the zone first; load notices to other zones only for recent callers when a service has more than 16 nodes.

--- a/libs/membership/include/poplarport/membership/detector.hpp
+++ b/libs/membership/include/poplarport/membership/detector.hpp
@@ -62,9 +62,9 @@
     /// @brief Replaces the addresses that are contacted while no member is known, from the seeds object.
     void set_seeds(std::vector<core::socket_address> addresses);
 
-    /// @brief Contacts addresses of the seeds object that belong to no live member, so that groups that were formed
-    /// apart find each other.
-    [[nodiscard]] detector_output introduce(const std::vector<core::socket_address>& addresses) const;
+    /// @brief Contacts a few addresses of the seeds object that belong to no live member, so that groups that were
+    /// formed apart find each other. Each contact exchanges whole lists.
+    [[nodiscard]] detector_output introduce(std::vector<core::socket_address> addresses, std::mt19937_64& random) const;
 
     /// @brief Probes, sends news and compares lists as far as each is due.
     /// @param[in]     now    the present time
@@ -87,6 +87,8 @@
     [[nodiscard]] detector_output leave(core::time_point now, std::mt19937_64& random);
 
     /// @brief Announces the newest configuration version that this member holds; a lower one is ignored.
+    ///
+    /// It travels in the headers of this member's own messages and is not passed on by others.
     void set_configuration_version(core::version version, core::time_point now);
 
     /// @brief Announces whether this member's upstream takes new work; unlike drain() this can change again.
@@ -179,6 +181,7 @@
                    detector_output& output) const;
     [[nodiscard]] std::vector<member> pick_live(std::size_t count, const core::node_id& except,
                                                 std::mt19937_64& random) const;
+    [[nodiscard]] std::vector<member> pick_gossip_targets(std::mt19937_64& random) const;
     [[nodiscard]] std::uint64_t own_hash() const;
     [[nodiscard]] core::duration suspicion_time() const;
     [[nodiscard]] std::size_t transmissions() const;
--- a/libs/membership/include/poplarport/membership/detector_settings.hpp
+++ b/libs/membership/include/poplarport/membership/detector_settings.hpp
@@ -24,7 +24,10 @@
     /// Members to which news goes in each gossip interval.
     std::size_t gossip_fanout{3};
     /// Each news item is sent this many times the binary logarithm of the group's size.
-    std::size_t retransmit_multiplier{3};
+    double retransmit_multiplier{3.0};
+    /// Copies of a news item that leave an availability zone, those of all its members together. Where members chosen
+    /// evenly would send fewer, they are chosen evenly.
+    std::size_t copies_between_zones{8};
     /// Time between two exchanges of whole lists.
     core::duration sync_interval{std::chrono::seconds{30}};
     /// Most datagrams of one list; a longer list is sent from a random position.
--- a/libs/membership/include/poplarport/membership/member.hpp
+++ b/libs/membership/include/poplarport/membership/member.hpp
@@ -31,7 +31,7 @@
     core::socket_address http_address; ///< caller listener
     member_state state{member_state::alive};
     bool draining{false};                   ///< takes no new work; never undone within an incarnation
-    core::version configuration_version{0}; ///< newest version of the service's document that the member holds
+    core::version configuration_version{0}; ///< newest that the member holds; changes without a new revision
     std::string service;  ///< service of the member's upstream, in a group of several services; else empty
     bool accepting{true}; ///< the member's upstream takes new work; may change with each revision
     /// Start of the member's upstream that has announced its departure; empty for none. Kept over restarts of the node.
@@ -53,7 +53,7 @@
 /// @return whether `known` changed
 bool merge(member& known, const member& news);
 
-/// @return a hash of the live members of a list, the same for any order of the list
+/// @return a hash of the live members of a list without their configuration versions, the same for any order
 [[nodiscard]] std::uint64_t list_hash(std::vector<member> members);
 
 } // namespace poplarport::membership
--- a/libs/membership/include/poplarport/membership/member_event.hpp
+++ b/libs/membership/include/poplarport/membership/member_event.hpp
@@ -11,7 +11,8 @@
 enum class member_change : std::uint8_t
 {
     joined,     ///< new, or back after its end, or started again with a later incarnation
-    updated,    ///< its data changed, for example draining or the configuration version
+    updated,    ///< its data changed, for example draining
+    configured, ///< it holds a newer version of the configuration, and nothing else changed
     suspected,  ///< did not answer a probe
     recovered,  ///< refuted the suspicion
     failed,     ///< is dead
--- a/libs/membership/src/detector.cpp
+++ b/libs/membership/src/detector.cpp
@@ -17,6 +17,10 @@
 /// Seeds that are contacted in each attempt to join.
 constexpr std::size_t join_contacts = 3;
 
+/// Unknown addresses that are contacted at once. A group in which each member contacts four others at random is almost
+/// always connected; `join` and the exchanges of lists cover the rest.
+constexpr std::size_t introductions = 4;
+
 } // namespace
 
 detector::detector(std::string service_name, member self, const detector_settings& settings,
@@ -87,7 +91,6 @@
         return;
     }
     this->own.configuration_version = version;
-    ++this->own.revision;
     this->publish_own(now);
 }
 
@@ -296,7 +299,7 @@
     {
         return;
     }
-    for (const member& peer : this->pick_live(this->limits.gossip_fanout, this->own.id, random))
+    for (const member& peer : this->pick_gossip_targets(random))
     {
         member_news value{this->header(), false, {}};
         value.entries =
@@ -353,7 +356,7 @@
     }
 }
 
-detector_output detector::introduce(const std::vector<core::socket_address>& addresses) const
+detector_output detector::introduce(std::vector<core::socket_address> addresses, std::mt19937_64& random) const
 {
     detector_output output;
     if (this->passive())
@@ -361,13 +364,13 @@
         return output;
     }
     const auto live = this->members();
+    std::erase_if(addresses, [&live](const core::socket_address& address)
+                  { return std::ranges::find(live, address, &member::peer_address) != live.end(); });
+    std::ranges::shuffle(addresses, random);
+    addresses.resize(std::min(addresses.size(), introductions));
     for (const auto& address : addresses)
     {
-        const bool is_known = std::ranges::find(live, address, &member::peer_address) != live.end();
-        if (!is_known)
-        {
-            output.messages.push_back({address, sync_request{this->header(), this->own_hash()}});
-        }
+        output.messages.push_back({address, sync_request{this->header(), this->own_hash()}});
     }
     return output;
 }
@@ -394,7 +397,7 @@
 std::size_t detector::transmissions() const
 {
     const auto size = static_cast<double>(this->table.live_count() + 1);
-    return this->limits.retransmit_multiplier * static_cast<std::size_t>(std::ceil(std::log2(size + 1)));
+    return static_cast<std::size_t>(std::ceil(this->limits.retransmit_multiplier * std::log2(size + 1)));
 }
 
 detector::builder& detector::builder::service(std::string name)
--- a/libs/membership/src/detector_messages.cpp
+++ b/libs/membership/src/detector_messages.cpp
@@ -1,6 +1,7 @@
-#include <algorithm> // max, ranges::sample, ranges::shuffle
+#include <algorithm> // max, min, ranges::sample, ranges::shuffle
 #include <cassert>   // assert
 #include <iterator>  // back_inserter
+#include <random>    // binomial_distribution
 #include <utility>   // move
 
 #include "poplarport/membership/detector.hpp"
@@ -143,7 +144,11 @@
     {
         return;
     }
-    this->news.add(entry.member.id);
+    // Each member tells its version itself; passing it on would cost a message for each pair of members.
+    if (event->change != member_change::configured)
+    {
+        this->news.add(entry.member.id);
+    }
     if (event->change == member_change::joined)
     {
         const auto place = index_below(this->probe_order.size() + 1, random);
@@ -257,6 +262,28 @@
     }
 }
 
+std::vector<member> detector::pick_gossip_targets(std::mt19937_64& random) const
+{
+    std::vector<member> near;
+    std::vector<member> far;
+    for (auto& each : this->table.live())
+    {
+        auto& side = each.availability_zone == this->own.availability_zone ? near : far;
+        side.push_back(std::move(each));
+    }
+    const auto all = static_cast<double>(near.size() + far.size());
+    const auto even_share = all > 0.0 ? static_cast<double>(far.size()) / all : 0.0;
+    const auto zone_sends = static_cast<double>((near.size() + 1) * this->transmissions());
+    const auto share = std::min(even_share, static_cast<double>(this->limits.copies_between_zones) / zone_sends);
+    std::binomial_distribution<std::size_t> count{this->limits.gossip_fanout, share};
+    const auto far_count = count(random);
+    const auto near_count = this->limits.gossip_fanout - far_count;
+    std::vector<member> picked;
+    std::ranges::sample(far, std::back_inserter(picked), static_cast<std::ptrdiff_t>(far_count), random);
+    std::ranges::sample(near, std::back_inserter(picked), static_cast<std::ptrdiff_t>(near_count), random);
+    return picked;
+}
+
 std::vector<member> detector::pick_live(std::size_t count, const core::node_id& except, std::mt19937_64& random) const
 {
     auto candidates = this->table.live();
--- a/libs/membership/src/member.cpp
+++ b/libs/membership/src/member.cpp
@@ -73,7 +73,6 @@
         append(text, std::to_string(each.revision));
         append(text, std::to_string(static_cast<int>(each.state)));
         append(text, each.draining ? "d" : "-");
-        append(text, std::to_string(each.configuration_version));
     }
     return XXH64(text.data(), text.size(), 0);
 }
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -21,7 +21,9 @@
     }
     if (before.state == after.state)
     {
-        return member_change::updated;
+        member as_before = after;
+        as_before.configuration_version = before.configuration_version;
+        return as_before == before ? member_change::configured : member_change::updated;
     }
     return after.state == member_state::suspect ? member_change::suspected : member_change::recovered;
 }
--- a/libs/membership/tests/unit-detector.cpp
+++ b/libs/membership/tests/unit-detector.cpp
@@ -230,3 +230,72 @@
         LONGS_EQUAL(3, subject.detector(index).list(0, core::time_point{1h}).entries.size());
     }
 }
+
+// Guards against versions that each member passes on for every other: with 60 members that is a message for each pair.
+TEST(detector, a_configuration_version_is_told_by_its_holder_alone)
+{
+    auto subject = build(entry("a", 10, "10.0.0.1"));
+    auto holder = entry("b", 20, "10.0.0.2");
+    static_cast<void>(receive(subject, ping{{"orders", holder}, 1, "a", {}}));
+    for (int part = 0; part < 100; ++part)
+    {
+        now += 100ms;
+        for (const auto& each : subject.tick(now, random).messages)
+        {
+            if (const auto* probe = std::get_if<ping>(&each.message))
+            {
+                static_cast<void>(receive(subject, ack{{"orders", holder}, probe->sequence, {}}));
+            }
+        }
+    }
+    holder.configuration_version = 7;
+    const auto output = receive(subject, ping{{"orders", holder}, 2, "a", {}});
+    CHECK(output.events.at(0).change == member_change::configured);
+    LONGS_EQUAL(7, subject.members().at(1).configuration_version);
+    const auto third = entry("c", 30, "10.0.0.3");
+    const auto answer = receive(subject, ping{{"orders", third}, 1, "a", {}});
+    for (const auto& each : std::get<ack>(answer.messages.at(0).message).gossip)
+    {
+        CHECK(each.member.id != "b");
+    }
+}
+
+// Guards against news that crosses between availability zones once for each member instead of a few times.
+TEST(detector, news_leaves_a_zone_in_few_copies)
+{
+    constexpr std::size_t zone_size = 20;
+    constexpr int rounds = 200;
+    auto self = entry("a", 10, "10.0.0.1");
+    self.availability_zone = "zone-a";
+    auto subject = build(self);
+    member_news others{{"orders", entry("b-0", 20, "10.0.1.0")}, false, {}};
+    others.header.sender.availability_zone = "zone-b";
+    for (std::size_t index = 0; index < 3 * zone_size; ++index)
+    {
+        auto value = entry(("n-" + std::to_string(index)).c_str(), 20, "10.0.2.1");
+        value.availability_zone = index < zone_size ? "zone-a" : "zone-b";
+        value.peer_address.port = static_cast<std::uint16_t>(1000 + index);
+        others.entries.push_back({value, {}});
+    }
+    static_cast<void>(receive(subject, others));
+    std::size_t near = 0;
+    std::size_t far = 0;
+    for (int round = 0; round < rounds; ++round)
+    {
+        // Each change is news again, as from each member of the zone in turn.
+        subject.set_accepting(round % 2 == 1, now);
+        now += 200ms;
+        for (const auto& each : subject.tick(now, random).messages)
+        {
+            if (std::holds_alternative<member_news>(each.message))
+            {
+                const bool is_near = each.to.port >= 1000 && each.to.port < 1000 + zone_size;
+                (is_near ? near : far) += 1;
+            }
+        }
+    }
+    const auto transmissions = 18.0;
+    const auto copies_of_zone = static_cast<double>(far) / static_cast<double>(near + far) * transmissions * 21.0;
+    CHECK(copies_of_zone > 4.0);
+    CHECK(copies_of_zone < 16.0);
+}
--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -35,12 +35,13 @@
 
     /// @param[in] loop        loop of the node
     /// @param[in] self        name of this node
+    /// @param[in] zone        availability zone of this node
     /// @param[in] cluster_key key to show to members
     /// @param[in] site        the installation; must outlive the task
     /// @param[in] random      random engine of the node
     /// @param[in] events      hooks to the rest of the node
-    configuration_task(net::event_loop& loop, core::node_id self, std::string cluster_key, const adapter& site,
-                       std::mt19937_64& random, hooks events);
+    configuration_task(net::event_loop& loop, core::node_id self, std::string zone, std::string cluster_key,
+                       const adapter& site, std::mt19937_64& random, hooks events);
     ~configuration_task();
     configuration_task(const configuration_task&) = delete;
     configuration_task& operator=(const configuration_task&) = delete;
@@ -69,9 +70,11 @@
     void handle_failure(std::error_code error);
     void take(const std::string& text, std::string_view source);
     void pull();
+    [[nodiscard]] std::vector<core::node_id> newer_members() const;
     void pull_from(const core::node_id& id);
 
     core::node_id self;
+    std::string availability_zone;
     std::string cluster_key;
     const adapter* site;
     std::mt19937_64* random;
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -34,9 +34,9 @@
 
 } // namespace
 
-configuration_task::configuration_task(net::event_loop& owner, core::node_id name, std::string key,
+configuration_task::configuration_task(net::event_loop& owner, core::node_id name, std::string zone, std::string key,
                                        const adapter& installation, std::mt19937_64& engine, hooks values)
-    : self(std::move(name)), cluster_key(std::move(key)), site(&installation), random(&engine),
+    : self(std::move(name)), availability_zone(std::move(zone)), cluster_key(std::move(key)), site(&installation), random(&engine),
       events(std::move(values)), back_off(first_back_off), store_wakeup(owner,
                                                                         [this]
                                                                         {
@@ -212,14 +212,7 @@
 
 void configuration_task::pull()
 {
-    std::vector<core::node_id> newer;
-    for (const auto& each : this->members)
-    {
-        if (each.configuration_version > this->held.version)
-        {
-            newer.push_back(each.id);
-        }
-    }
+    const auto newer = this->newer_members();
     if (newer.empty())
     {
         return;
@@ -235,6 +228,27 @@
     }
 }
 
+std::vector<core::node_id> configuration_task::newer_members() const
+{
+    std::vector<core::node_id> near;
+    std::vector<core::node_id> far;
+    for (const auto& each : this->members)
+    {
+        if (each.configuration_version > this->held.version)
+        {
+            auto& side = each.availability_zone == this->availability_zone ? near : far;
+            side.push_back(each.id);
+        }
+    }
+    // A pull within the zone is free. The second pull at the same time may go anywhere, in case the zone is cut off.
+    const bool prefers_near = !near.empty() && this->pulls == 0;
+    if (!prefers_near)
+    {
+        near.insert(near.end(), far.begin(), far.end());
+    }
+    return near;
+}
+
 void configuration_task::pull_from(const core::node_id& id)
 {
     auto* const link = this->events.link_of(id);
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/mesh/mesh_node.hpp"
 
-#include <algorithm>   // ranges::find
+#include <algorithm>   // ranges::count, ranges::find
 #include <chrono>      // milliseconds, seconds
 #include <string_view> // string_view
 #include <utility>     // exchange, move
@@ -34,6 +34,9 @@
 // Nodes that have sent a call within this time are told of a change of the upstream's speed.
 constexpr std::chrono::seconds caller_memory{3};
 
+// Other nodes of the service that are told too. Above this number their own zone has enough peers to name.
+constexpr std::size_t most_told_peers = 16;
+
 // Longest wait for the store to keep a departure. Other nodes also remember it, and an upstream that gets no
 // acknowledgement within a second asks elsewhere.
 constexpr std::chrono::milliseconds departure_wait{400};
@@ -49,6 +52,8 @@
     // A new version of the configuration reaches all nodes within a second.
     values.gossip_interval = std::chrono::milliseconds{100};
     values.ended_retention = std::chrono::minutes{10};
+    // A member misses all of a news item's n copies in e^-n cases, here n is 5 to 10; probes and lists cover those.
+    values.retransmit_multiplier = 1.4;
     return values;
 }
 
@@ -157,7 +162,8 @@
 void mesh_node::state::connect_store()
 {
     this->configuration = std::make_unique<configuration_task>(
-        *this->loop, this->settings.id, this->identity.cluster_key, this->site, this->random,
+        *this->loop, this->settings.id, this->settings.availability_zone, this->identity.cluster_key, this->site,
+        this->random,
         configuration_task::hooks{.on_table = [this](const auto& value) { this->on_table(value); },
                                   .link_of =
                                       [this](const core::node_id& id)
@@ -284,11 +290,14 @@
     const auto now = this->loop->now();
     std::erase_if(this->recent_callers, [&](const auto& each) { return now - each.second > caller_memory; });
     const auto bytes = wire::encode(wire::load_notice{this->settings.id, load}, this->settings.cluster_secret);
+    const auto in_service = std::ranges::count(this->members, this->settings.service, &membership::member::service);
+    const bool is_small = static_cast<std::size_t>(in_service) <= most_told_peers;
     for (const auto& each : this->members)
     {
         // Upstreams of the same service are told too, because they name faster peers when they refuse.
-        const bool is_concerned =
-            each.service == this->settings.service || this->recent_callers.contains(each.peer_address.host);
+        const bool is_near = is_small || each.availability_zone == this->settings.availability_zone;
+        const bool is_concerned = (is_near && each.service == this->settings.service) ||
+                                  this->recent_callers.contains(each.peer_address.host);
         if (each.id != this->settings.id && is_concerned)
         {
             this->gossip->send(each.peer_address, bytes);
--- a/libs/node/src/gossip_task.cpp
+++ b/libs/node/src/gossip_task.cpp
@@ -21,6 +21,8 @@
         return "member_joined";
     case membership::member_change::updated:
         return "member_updated";
+    case membership::member_change::configured:
+        return "member_configured";
     case membership::member_change::suspected:
         return "member_suspected";
     case membership::member_change::recovered:
@@ -37,7 +39,8 @@
 
 void log_event(const std::string& group, const membership::member_event& event)
 {
-    const bool is_routine = event.change == membership::member_change::updated;
+    const bool is_routine = event.change == membership::member_change::updated ||
+                            event.change == membership::member_change::configured;
     observability::log_record{to_string(event.change)}
         .with("service", event.member.service.empty() ? group : event.member.service)
         .with("member", event.member.id)
@@ -45,6 +48,7 @@
         .with("revision", event.member.revision)
         .with("draining", event.member.draining ? "true" : "false")
         .with("accepting", event.member.accepting ? "true" : "false")
+        .with("configuration", static_cast<std::int64_t>(event.member.configuration_version))
         .write(is_routine ? observability::log_level::debug : observability::log_level::info);
 }
 
@@ -84,7 +88,7 @@
 
 void gossip_task::contact(const std::vector<core::socket_address>& addresses)
 {
-    this->act_on(this->protocol.introduce(addresses));
+    this->act_on(this->protocol.introduce(addresses, *this->random));
 }
 
 void gossip_task::leave()
