Choose by the load of upstreams, not by which requests they ran last

Cause: requests of a service went to a few nodes of a zone until those were full (11 of 11 slots) beside idle ones. Ruled out: too few slots (28 % of the slots of the busiest zone are needed). Change: measuring::length_weighted_mean for the reported service time; endpoints without a report count as the average of the others; the load notice becomes a speed notice.

--- a/libs/http/tests/unit-server.cpp
+++ b/libs/http/tests/unit-server.cpp
@@ -232,23 +232,23 @@
     std::unique_ptr<net::stream_socket> socket{};
 
     explicit pipelining(const std::string& text)
-        : server(http::server::builder{}
-                     .listen_on(loopback)
-                     .overlap_if([](const http::request_head& head) { return head.method == "GET"; })
-                     .on_request([this](const std::shared_ptr<http::server_exchange>& exchange)
-                                 { this->begin(exchange); })
-                     .build(this->loop))
+        : server(
+              http::server::builder{}
+                  .listen_on(loopback)
+                  .overlap_if([](const http::request_head& head) { return head.method == "GET"; })
+                  .on_request([this](const std::shared_ptr<http::server_exchange>& exchange) { this->begin(exchange); })
+                  .build(this->loop))
     {
-        this->socket = net::stream_socket::connect(
-            this->loop, this->server.address(), connect_timeout,
-            {.on_connected = [this, text] { this->socket->send(text); },
-             .on_bytes = [this](std::string_view bytes) { this->received.append(bytes); },
-             .on_drained = {},
-             .on_closed =
-                 [this](std::error_code)
-             {
-                 this->closed = true;
-             }});
+        this->socket =
+            net::stream_socket::connect(this->loop, this->server.address(), connect_timeout,
+                                        {.on_connected = [this, text] { this->socket->send(text); },
+                                         .on_bytes = [this](std::string_view bytes) { this->received.append(bytes); },
+                                         .on_drained = {},
+                                         .on_closed =
+                                             [this](std::error_code)
+                                         {
+                                             this->closed = true;
+                                         }});
     }
 
     void begin(const std::shared_ptr<http::server_exchange>& exchange)
@@ -257,8 +257,7 @@
         exchange->set_hooks({.on_body = {},
                              .on_body_end = {},
                              .on_writable = {},
-                             .on_cancelled =
-                                 [this, target = exchange->request().target](std::error_code)
+                             .on_cancelled = [this, target = exchange->request().target](std::error_code)
                              {
                                  this->cancelled.push_back(target);
                              }});
@@ -272,7 +271,8 @@
     // Runs the loop for long enough that whatever is under way has arrived.
     void settle()
     {
-        static_cast<void>(run_until(this->loop, [] { return false; }, 50ms));
+        static_cast<void>(run_until(
+            this->loop, [] { return false; }, 50ms));
     }
 
     void answer(std::size_t position)
--- a/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
+++ b/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
@@ -34,7 +34,7 @@
     void on_table(const std::shared_ptr<const routes::route_table>& value);
     void on_members(const std::vector<membership::member>& values);
     void on_departed(const std::string& start, std::function<void()> done);
-    void publish_load();
+    void publish_speed();
     [[nodiscard]] node::service_router& router_of(const std::string& service);
     [[nodiscard]] peer::link* link_of(const core::node_id& id);
     [[nodiscard]] node::peer_document answer_peer(std::string_view target) const;
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -36,17 +36,17 @@
 
 configuration_task::configuration_task(net::event_loop& owner, core::node_id name, std::string zone, std::string key,
                                        const adapter& installation, std::mt19937_64& engine, hooks values)
-    : self(std::move(name)), availability_zone(std::move(zone)), cluster_key(std::move(key)), site(&installation), random(&engine),
-      events(std::move(values)), back_off(first_back_off), store_wakeup(owner,
-                                                                        [this]
-                                                                        {
-                                                                            if (this->listed_at)
-                                                                            {
-                                                                                this->watch();
-                                                                                return;
-                                                                            }
-                                                                            this->list();
-                                                                        }),
+    : self(std::move(name)), availability_zone(std::move(zone)), cluster_key(std::move(key)), site(&installation),
+      random(&engine), events(std::move(values)), back_off(first_back_off), store_wakeup(owner,
+                                                                                         [this]
+                                                                                         {
+                                                                                             if (this->listed_at)
+                                                                                             {
+                                                                                                 this->watch();
+                                                                                                 return;
+                                                                                             }
+                                                                                             this->list();
+                                                                                         }),
       pull_wakeup(owner, [this] { this->pull(); })
 {
 }
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -101,7 +101,7 @@
     };
     hooks.on_slowdown = [this]
     {
-        this->publish_load();
+        this->publish_speed();
     };
     hooks.knows_past = [this]
     {
@@ -144,12 +144,12 @@
         this->random,
         node::gossip_task::hooks{.on_members = [this](const auto& values) { this->on_members(values); },
                                  .on_idle_hint = {},
-                                 .on_load =
-                                     [this](const core::node_id& id, const core::load_report& load)
+                                 .on_speed =
+                                     [this](const core::node_id& id, std::uint32_t slowdown_percent)
                                  {
                                      for (const auto& [name, router] : this->routers)
                                      {
-                                         router->on_load(id, load);
+                                         router->on_speed(id, slowdown_percent);
                                      }
                                  },
                                  .on_superseded =
@@ -279,17 +279,17 @@
                                    });
 }
 
-void mesh_node::state::publish_load()
+void mesh_node::state::publish_speed()
 {
     if (!this->gossip)
     {
         return;
     }
-    const auto load = this->upstream->receiver().load();
-    this->router_of(this->settings.service).on_load(this->settings.id, load);
+    const auto slowdown = this->upstream->receiver().load().slowdown_percent;
+    this->router_of(this->settings.service).on_speed(this->settings.id, slowdown);
     const auto now = this->loop->now();
     std::erase_if(this->recent_callers, [&](const auto& each) { return now - each.second > caller_memory; });
-    const auto bytes = wire::encode(wire::load_notice{this->settings.id, load}, this->settings.cluster_secret);
+    const auto bytes = wire::encode(wire::speed_notice{this->settings.id, slowdown}, this->settings.cluster_secret);
     const auto in_service = std::ranges::count(this->members, this->settings.service, &membership::member::service);
     const bool is_small = static_cast<std::size_t>(in_service) <= most_told_peers;
     for (const auto& each : this->members)
--- a/libs/node/include/poplarport/node/gossip_task.hpp
+++ b/libs/node/include/poplarport/node/gossip_task.hpp
@@ -49,8 +49,8 @@
         /// The list of live members changed.
         std::function<void(const std::vector<membership::member>&)> on_members;
         std::function<void(const core::node_id&, std::uint32_t)> on_idle_hint; ///< a member announced free slots
-        /// A member reported its load without a call.
-        std::function<void(const core::node_id&, const core::load_report&)> on_load;
+        /// The speed of a member's VM has changed; in percent of the usual duration of work.
+        std::function<void(const core::node_id&, std::uint32_t)> on_speed;
         std::function<void()> on_superseded; ///< a later start of this node's id is alive elsewhere
     };
 
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -18,6 +18,7 @@
 #include "poplarport/http/client_pool.hpp"
 #include "poplarport/http/message.hpp"
 #include "poplarport/manifest/service.hpp"
+#include "poplarport/measuring/length_weighted_mean.hpp"
 #include "poplarport/net/event_loop.hpp"
 #include "poplarport/net/timer.hpp"
 #include "poplarport/node/attempt_channel.hpp"
@@ -144,6 +145,9 @@
     friend class detail::local_channel;
     friend class detail::status_check;
 
+    /// Service times that the moving averages cover.
+    static constexpr int usual_time_memory{8};
+
     [[nodiscard]] core::duration redirect_limit() const;
     [[nodiscard]] bool is_load_outdated() const;
     void offer(const admission::ticket& offered);
@@ -175,8 +179,8 @@
     std::optional<core::time_point> load_at{};                     ///< newest load report of the upstream
     std::unordered_map<std::string, core::duration> usual_times{}; ///< by class
     bool bounds_starts{false};
-    core::duration queue_drain_time{0};         ///< what still waits this long after a drain began is refused
-    std::optional<core::duration> usual_time{}; ///< moving average of the service time at the VM's usual speed
+    core::duration queue_drain_time{0}; ///< what still waits this long after a drain began is refused
+    measuring::length_weighted_mean usual_time{usual_time_memory}; ///< service time at the VM's usual speed
     counters counted{};
 };
 
--- a/libs/node/include/poplarport/node/service_router.hpp
+++ b/libs/node/include/poplarport/node/service_router.hpp
@@ -90,8 +90,8 @@
     /// @brief An endpoint announced free slots.
     void on_idle_hint(const core::node_id& id, std::uint32_t free_slots);
 
-    /// @brief An endpoint reported its load without a call.
-    void on_load(const core::node_id& id, const core::load_report& load);
+    /// @brief The speed of an endpoint's VM has changed.
+    void on_speed(const core::node_id& id, std::uint32_t slowdown_percent);
 
     /// @return a link to a member, or nullptr when it is not a member
     [[nodiscard]] peer::link* link_to_member(const core::node_id& id);
--- a/libs/node/src/gossip_task.cpp
+++ b/libs/node/src/gossip_task.cpp
@@ -39,8 +39,8 @@
 
 void log_event(const std::string& group, const membership::member_event& event)
 {
-    const bool is_routine = event.change == membership::member_change::updated ||
-                            event.change == membership::member_change::configured;
+    const bool is_routine =
+        event.change == membership::member_change::updated || event.change == membership::member_change::configured;
     observability::log_record{to_string(event.change)}
         .with("service", event.member.service.empty() ? group : event.member.service)
         .with("member", event.member.id)
@@ -122,11 +122,11 @@
                                    this->events.on_idle_hint(hint.node, hint.free_slots);
                                }
                            },
-                           [&](const wire::load_notice& notice)
+                           [&](const wire::speed_notice& notice)
                            {
-                               if (this->events.on_load)
+                               if (this->events.on_speed)
                                {
-                                   this->events.on_load(notice.node, notice.load);
+                                   this->events.on_speed(notice.node, notice.slowdown_percent);
                                }
                            }},
         *message);
--- a/libs/node/src/membership_task.cpp
+++ b/libs/node/src/membership_task.cpp
@@ -64,7 +64,7 @@
              engine,
              {.on_members = [this](const auto& members) { this->handle_members(members); },
               .on_idle_hint = this->events.on_idle_hint,
-              .on_load = {},
+              .on_speed = {},
               .on_superseded = this->events.on_superseded}),
       seeds_back_off(first_seeds_back_off)
 {
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -32,9 +32,6 @@
 // Classes whose service times are remembered; the others are taken for short.
 constexpr std::size_t greatest_classes = 1024;
 
-// Part of a new service time in the moving average.
-constexpr int usual_time_memory = 8;
-
 admission::limits to_gate_limits(const receiver_limits& values)
 {
     return {std::max(values.slots, 1U), values.queue_length, values.tenant_weights, values.class_weights,
@@ -192,11 +189,11 @@
 
 std::vector<core::node_id> receiver::faster_peers() const
 {
-    if (this->slowdown_percent < detail::slow_percent || !this->usual_time)
+    if (this->slowdown_percent < detail::slow_percent || !this->usual_time.value())
     {
         return {};
     }
-    return this->events.better_peers(*this->usual_time * (this->slowdown_percent - 100) / 100);
+    return this->events.better_peers(*this->usual_time.value() * (this->slowdown_percent - 100) / 100);
 }
 
 void receiver::apply(const receiver_limits& limits)
@@ -261,9 +258,9 @@
     auto report = this->gate.load(this->loop->now());
     report.draining = this->draining || !this->accepting;
     report.slowdown_percent = this->slowdown_percent;
-    if (this->usual_time)
+    if (const auto usual = this->usual_time.value())
     {
-        report.service_time = std::chrono::duration_cast<std::chrono::microseconds>(*this->usual_time);
+        report.service_time = std::chrono::duration_cast<std::chrono::microseconds>(*usual);
     }
     return report;
 }
@@ -325,8 +322,7 @@
     if (service_time && this->load_at)
     {
         const auto usual = *service_time * 100 / std::max(slowdown, 1U);
-        const auto before = this->usual_time.value_or(usual);
-        this->usual_time = before + (usual - before) / usual_time_memory;
+        this->usual_time.add(usual);
         this->note_usual_time(traffic_class, usual);
     }
     const auto now = this->loop->now();
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -393,9 +393,9 @@
     this->router->on_idle_hint(id, free_slots, this->loop->now());
 }
 
-void service_router::on_load(const core::node_id& id, const core::load_report& load)
+void service_router::on_speed(const core::node_id& id, std::uint32_t slowdown_percent)
 {
-    this->router->on_report(id, load, this->loop->now());
+    this->router->on_speed(id, slowdown_percent, this->loop->now());
 }
 
 peer::link* service_router::link_to_member(const core::node_id& id)
--- a/libs/routing/include/poplarport/routing/detail/endpoint_state.hpp
+++ b/libs/routing/include/poplarport/routing/detail/endpoint_state.hpp
@@ -21,6 +21,7 @@
     bool is_draining{false};        ///< announced or reported; sticky for an incarnation
     core::load_report report;       ///< newest report; its slots are zero when none arrived
     core::time_point reported_at;   ///< when the report arrived
+    core::time_point speed_at;      ///< when the report's speed of the VM was last told
     std::uint32_t own_at_report{0}; ///< own calls in flight when the report arrived
     double trust{1.0};              ///< in the reports, from 0 to 1; falls with refusals that they did not foretell
     measuring::duration_estimator latency; ///< of own calls, without the travel
--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -129,6 +129,9 @@
     /// @brief A load report arrived without a call.
     void on_report(std::string_view id, const core::load_report& report, core::time_point now);
 
+    /// @brief An endpoint's VM has changed its speed; unlike a report this says nothing of the endpoint's load.
+    void on_speed(std::string_view id, std::uint32_t slowdown_percent, core::time_point now);
+
     /// @brief An endpoint announces free slots.
     void on_idle_hint(std::string_view id, std::uint32_t free_slots, core::time_point now);
 
@@ -165,7 +168,7 @@
     [[nodiscard]] state* due_trial(core::time_point now);
     void take_report(state& value, const core::load_report& report, core::time_point now);
     void lower_trust(state& value, core::time_point now) noexcept;
-    void update_typical_load() noexcept;
+    void update_typical() noexcept;
     void update_mark(state& value, core::time_point now);
     void end_trial(state& value, core::duration latency, core::time_point now);
     [[nodiscard]] double straggler_factor() const noexcept;
@@ -175,8 +178,9 @@
     [[nodiscard]] double median(measure of);
 
     router_settings settings;
-    double preference;        // of tail latency, from 0 to 1
-    double typical_load{0.0}; // of other senders, per slot, mean of the newest reports
+    double preference;             // of tail latency, from 0 to 1
+    double typical_load{0.0};      // of other senders, per slot, mean of the newest reports
+    double mean_service_time{0.0}; // in nanoseconds, mean of the newest reports
     bool has_list{false};
     std::vector<state> states; // sorted by id
     std::vector<state*> candidates;
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -64,6 +64,7 @@
 router::router(router_settings value) : settings(std::move(value)), preference(0.0)
 {
     check(this->settings);
+    this->mean_service_time = in_nanoseconds(this->settings.assumed_service_time);
     this->preference = this->settings.tail_latency_weight /
                        (this->settings.tail_latency_weight + this->settings.measuring_cost_weight);
 }
@@ -280,6 +281,15 @@
     }
 }
 
+void router::on_speed(std::string_view id, std::uint32_t slowdown_percent, core::time_point now)
+{
+    if (state* found = this->find(id); found != nullptr)
+    {
+        found->report.slowdown_percent = slowdown_percent;
+        found->speed_at = now;
+    }
+}
+
 void router::on_idle_hint(std::string_view id, std::uint32_t free_slots, core::time_point now)
 {
     state* found = this->find(id);
@@ -295,7 +305,7 @@
         found->report.queued = 0;
         found->reported_at = now;
         found->own_at_report = found->in_flight();
-        this->update_typical_load();
+        this->update_typical();
     }
 }
 
@@ -338,6 +348,7 @@
                 .is_draining = is_draining,
                 .report = {},
                 .reported_at = {},
+                .speed_at = {},
                 .latency = {this->settings.assumed_service_time, latency_memory, now},
                 .redirected_at = {},
                 .hint_until = {},
--- a/libs/routing/src/router_score.cpp
+++ b/libs/routing/src/router_score.cpp
@@ -47,7 +47,7 @@
 double router::service_time_of(const state& value) const noexcept
 {
     const core::duration reported = value.report.service_time;
-    return in_nanoseconds(reported > core::duration::zero() ? reported : this->settings.assumed_service_time);
+    return reported > core::duration::zero() ? in_nanoseconds(reported) : this->mean_service_time;
 }
 
 // The calls that made up a load have mostly ended after one service time, so what is known of it fades at that rate.
@@ -91,7 +91,7 @@
 {
     constexpr double usual_percent = 100.0;
     const double excess = static_cast<double>(value.report.slowdown_percent) / usual_percent - 1.0;
-    const bool is_recent = now - value.reported_at < slowdown_lifetime;
+    const bool is_recent = now - value.speed_at < slowdown_lifetime;
     return is_recent ? std::max(excess, 0.0) * this->service_time_of(value) : 0.0;
 }
 
@@ -106,9 +106,10 @@
 {
     value.report = report;
     value.reported_at = now;
+    value.speed_at = now;
     value.own_at_report = value.in_flight();
     value.is_draining = value.is_draining || report.draining;
-    this->update_typical_load();
+    this->update_typical();
 }
 
 // A refusal by an endpoint that seemed to have free slots shows that its reports are late or wrong. The square keeps
@@ -120,17 +121,23 @@
     value.trust *= 1.0 - surprise * surprise;
 }
 
-void router::update_typical_load() noexcept
+void router::update_typical() noexcept
 {
-    double sum = 0.0;
+    double load = 0.0;
+    double service_time = 0.0;
     double count = 0.0;
     for (const state& item : this->states)
     {
-        const bool is_usable = item.report.slots > 0 && !item.is_draining;
-        sum += is_usable ? others_of(item) / item.report.slots : 0.0;
-        count += is_usable ? 1.0 : 0.0;
+        if (item.report.slots > 0 && !item.is_draining)
+        {
+            load += others_of(item) / item.report.slots;
+            service_time += in_nanoseconds(item.report.service_time);
+            count += 1.0;
+        }
     }
-    this->typical_load = count > 0.0 ? sum / count : 0.0;
+    const bool is_known = count > 0.0 && service_time > 0.0;
+    this->typical_load = count > 0.0 ? load / count : 0.0;
+    this->mean_service_time = is_known ? service_time / count : in_nanoseconds(this->settings.assumed_service_time);
 }
 
 } // namespace poplarport::routing
--- a/libs/routing/tests/unit-router.cpp
+++ b/libs/routing/tests/unit-router.cpp
@@ -373,3 +373,31 @@
         CHECK_EQUAL_TEXT(each.stays ? 300 : 0, count_picks(value, start)[endpoints[0].id], each.name);
     }
 }
+
+// Guards against senders that all turn to one endpoint, because a notice of its speed told them that it was idle.
+TEST(router, a_change_of_speed_says_nothing_of_the_load)
+{
+    router value = router::builder{}.availability_zone("zone-0").compare_all(true).build();
+    value.set_endpoints(three, start);
+    auto busy = make_report(6, 100ms);
+    busy.slowdown_percent = 700;
+    value.on_report(three[0].id, busy, start);
+    value.on_report(three[1].id, make_report(4, 100ms), start);
+    value.on_report(three[2].id, make_report(4, 100ms), start);
+    value.on_speed(three[0].id, 100, start);
+    CHECK_EQUAL(0, count_picks(value, start)[three[0].id]);
+    LONGS_EQUAL(6, value.report_of(three[0].id, start)->report.in_flight);
+    value.on_speed(three[1].id, 700, start);
+    CHECK_EQUAL(300, count_picks(value, start)[three[2].id]);
+}
+
+// Guards against a rush to endpoints that have not reported, which used to count as many times faster than the others.
+TEST(router, an_endpoint_without_a_report_counts_as_an_average_one)
+{
+    const auto endpoints = make_endpoints(2, 2);
+    router value =
+        router::builder{}.availability_zone("zone-0").zone_cost(1ms).zone_preference(0.8).compare_all(true).build();
+    value.set_endpoints(endpoints, start);
+    value.on_report(endpoints[0].id, make_report(2, 100ms), start);
+    CHECK_EQUAL(300, count_picks(value, start)[endpoints[0].id]);
+}
--- a/libs/wire/include/poplarport/wire/datagram.hpp
+++ b/libs/wire/include/poplarport/wire/datagram.hpp
@@ -9,7 +9,6 @@
 #include <variant>      // variant
 
 #include "poplarport/core/ids.hpp"
-#include "poplarport/core/load_report.hpp"
 #include "poplarport/membership/message.hpp"
 
 namespace poplarport::wire
@@ -24,17 +23,17 @@
     bool operator==(const idle_hint&) const = default;
 };
 
-/// @brief Tells senders the load of an endpoint between two answers.
-struct load_notice
+/// @brief Tells senders between two answers that an endpoint's VM has changed its speed.
+struct speed_notice
 {
     core::node_id node;
-    core::load_report load{};
+    std::uint32_t slowdown_percent{100}; ///< duration of work, 100 for the VM's usual speed
 
-    bool operator==(const load_notice&) const = default;
+    bool operator==(const speed_notice&) const = default;
 };
 
 /// @brief Everything that nodes send to each other by UDP.
-using datagram = std::variant<membership::message, idle_hint, load_notice>;
+using datagram = std::variant<membership::message, idle_hint, speed_notice>;
 
 /// @brief Bytes of the checksum before the CBOR of each datagram: a truncated HMAC-SHA-256.
 inline constexpr std::size_t checksum_bytes = 16;
@@ -49,10 +48,10 @@
 /// @param[in] secret secret of the cluster
 [[nodiscard]] std::string encode(const idle_hint& hint, std::string_view secret);
 
-/// @brief Encodes a load notice.
+/// @brief Encodes a speed notice.
 /// @param[in] notice the notice
 /// @param[in] secret secret of the cluster
-[[nodiscard]] std::string encode(const load_notice& notice, std::string_view secret);
+[[nodiscard]] std::string encode(const speed_notice& notice, std::string_view secret);
 
 /// @brief Decodes a datagram; fields that are not known are ignored.
 /// @param[in]  bytes  the datagram
--- a/libs/wire/src/datagram.cpp
+++ b/libs/wire/src/datagram.cpp
@@ -32,9 +32,9 @@
 constexpr const char* sync_kind = "s";
 constexpr const char* news_kind = "n";
 constexpr const char* hint_kind = "h";
-constexpr const char* load_kind = "l";
+constexpr const char* speed_kind = "v";
 
-constexpr std::uint64_t longest_service_time_us = std::uint64_t{3600} * 1'000'000;
+constexpr std::uint64_t greatest_slowdown_percent = 1'000'000;
 
 std::string checksum(std::string_view bytes, std::string_view secret)
 {
@@ -165,17 +165,11 @@
     return hint;
 }
 
-datagram read_load(detail::value_reader& reader, std::error_code& /*error*/)
+datagram read_speed(detail::value_reader& reader, std::error_code& /*error*/)
 {
-    load_notice notice;
+    speed_notice notice;
     notice.node = reader.text("i", 1, greatest_name_length);
-    notice.load.slots = static_cast<std::uint32_t>(reader.number("s", greatest_slots));
-    notice.load.in_flight = static_cast<std::uint32_t>(reader.number("r", greatest_slots));
-    notice.load.queued = static_cast<std::uint32_t>(reader.number("w", greatest_slots));
-    const auto service_time = reader.number("u", longest_service_time_us);
-    notice.load.service_time = std::chrono::microseconds{static_cast<std::int64_t>(service_time)};
-    notice.load.draining = reader.boolean("d");
-    notice.load.slowdown_percent = static_cast<std::uint32_t>(reader.number("x", greatest_slots));
+    notice.slowdown_percent = static_cast<std::uint32_t>(reader.number("x", greatest_slowdown_percent));
     return notice;
 }
 
@@ -191,7 +185,7 @@
                                            {sync_kind, read_sync},
                                            {news_kind, read_news},
                                            {hint_kind, read_hint},
-                                           {load_kind, read_load}}};
+                                           {speed_kind, read_speed}}};
 
 } // namespace
 
@@ -205,18 +199,9 @@
     return seal({{kind_key, hint_kind}, {"i", hint.node}, {"s", hint.free_slots}}, secret);
 }
 
-std::string encode(const load_notice& notice, std::string_view secret)
+std::string encode(const speed_notice& notice, std::string_view secret)
 {
-    const auto& load = notice.load;
-    return seal({{kind_key, load_kind},
-                 {"i", notice.node},
-                 {"s", load.slots},
-                 {"r", load.in_flight},
-                 {"w", load.queued},
-                 {"u", load.service_time.count()},
-                 {"d", load.draining},
-                 {"x", load.slowdown_percent}},
-                secret);
+    return seal({{kind_key, speed_kind}, {"i", notice.node}, {"x", notice.slowdown_percent}}, secret);
 }
 
 std::optional<datagram> decode(std::string_view bytes, std::string_view secret, std::error_code& error)
--- a/libs/wire/tests/unit-datagram.cpp
+++ b/libs/wire/tests/unit-datagram.cpp
@@ -50,7 +50,7 @@
             membership::message{membership::sync_request{header, 99}},
             membership::message{membership::member_news{header, true, entries}},
             wire::idle_hint{"a", 9},
-            wire::load_notice{"a", {9, 4, 2, std::chrono::microseconds{160'000}, true, 700}},
+            wire::speed_notice{"a", 700},
             membership::message{membership::sync_request{{"mesh", make_mesh_member()}, 1}}};
 }
 
