--- a/libs/http/include/poplarport/http/detail/server_connection.hpp
+++ b/libs/http/include/poplarport/http/detail/server_connection.hpp
@@ -94,6 +94,15 @@
     bool lingering{false};
 };
 
+/// @brief What was sent of an answer while earlier requests are in progress.
+struct held_answer
+{
+    std::optional<response_head> head{};
+    std::string body{};
+    bool finished{false};
+    bool aborted{false};
+};
+
 /// @brief An exchange in progress on a connection.
 class connection_exchange final : public server_exchange
 {
@@ -119,15 +128,6 @@
   private:
     friend class server_connection;
 
-    /// What was sent of an answer while earlier requests are in progress.
-    struct held_answer
-    {
-        std::optional<response_head> head{};
-        std::string body{};
-        bool finished{false};
-        bool aborted{false};
-    };
-
     void release_held();
     [[nodiscard]] bool is_over() const noexcept;
 
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -18,7 +18,7 @@
 #include "poplarport/http/client_pool.hpp"
 #include "poplarport/http/message.hpp"
 #include "poplarport/manifest/service.hpp"
-#include "poplarport/measuring/length_weighted_mean.hpp"
+#include "poplarport/measuring/class_durations.hpp"
 #include "poplarport/net/event_loop.hpp"
 #include "poplarport/net/timer.hpp"
 #include "poplarport/node/attempt_channel.hpp"
@@ -145,9 +145,6 @@
     friend class detail::local_channel;
     friend class detail::status_check;
 
-    /// Service times that the moving averages cover.
-    static constexpr int usual_time_memory{8};
-
     [[nodiscard]] core::duration redirect_limit() const;
     [[nodiscard]] bool is_load_outdated() const;
     void offer(const admission::ticket& offered);
@@ -157,7 +154,6 @@
     void refuse(const std::string& ticket, std::error_code reason, std::vector<core::node_id> better);
     void end(const std::string& ticket, const std::string& traffic_class, std::optional<core::duration> service_time,
              std::uint32_t slowdown);
-    void note_usual_time(const std::string& traffic_class, core::duration sample);
     [[nodiscard]] core::time_point ticket_deadline(const received_call& call) const;
     void schedule_expiry();
 
@@ -176,11 +172,10 @@
     bool accepting{true};
     std::string identity{};
     std::uint32_t slowdown_percent{100};
-    std::optional<core::time_point> load_at{};                     ///< newest load report of the upstream
-    std::unordered_map<std::string, core::duration> usual_times{}; ///< by class
+    std::optional<core::time_point> load_at{}; ///< newest load report of the upstream
+    measuring::class_durations usual_times{};  ///< service times at the usual speed of the VM
     bool bounds_starts{false};
     core::duration queue_drain_time{0}; ///< what still waits this long after a drain began is refused
-    measuring::length_weighted_mean usual_time{usual_time_memory}; ///< service time at the VM's usual speed
     counters counted{};
 };
 
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -29,9 +29,6 @@
 // an older report is renewed before a request starts; the upstream answers within about a millisecond.
 constexpr std::chrono::milliseconds load_lifetime{15};
 
-// Classes whose service times are remembered; the others are taken for short.
-constexpr std::size_t greatest_classes = 1024;
-
 admission::limits to_gate_limits(const receiver_limits& values)
 {
     return {std::max(values.slots, 1U), values.queue_length, values.tenant_weights, values.class_weights,
@@ -171,8 +168,7 @@
     {
         return call.deadline;
     }
-    const auto found = this->usual_times.find(call.traffic_class);
-    const auto usual = found == this->usual_times.end() ? core::duration{0} : found->second;
+    const auto usual = this->usual_times.of(call.traffic_class);
     const auto end = call.target ? std::min(*call.target, call.deadline) : call.deadline;
     return end - usual * this->slowdown_percent / 100;
 }
@@ -189,11 +185,12 @@
 
 std::vector<core::node_id> receiver::faster_peers() const
 {
-    if (this->slowdown_percent < detail::slow_percent || !this->usual_time.value())
+    const auto usual = this->usual_times.longest(this->loop->now());
+    if (this->slowdown_percent < detail::slow_percent || !usual)
     {
         return {};
     }
-    return this->events.better_peers(*this->usual_time.value() * (this->slowdown_percent - 100) / 100);
+    return this->events.better_peers(*usual * (this->slowdown_percent - 100) / 100);
 }
 
 void receiver::apply(const receiver_limits& limits)
@@ -258,7 +255,7 @@
     auto report = this->gate.load(this->loop->now());
     report.draining = this->draining || !this->accepting;
     report.slowdown_percent = this->slowdown_percent;
-    if (const auto usual = this->usual_time.value())
+    if (const auto usual = this->usual_times.longest(this->loop->now()))
     {
         report.service_time = std::chrono::duration_cast<std::chrono::microseconds>(*usual);
     }
@@ -321,9 +318,7 @@
     }
     if (service_time && this->load_at)
     {
-        const auto usual = *service_time * 100 / std::max(slowdown, 1U);
-        this->usual_time.add(usual);
-        this->note_usual_time(traffic_class, usual);
+        this->usual_times.add(traffic_class, *service_time * 100 / std::max(slowdown, 1U), this->loop->now());
     }
     const auto now = this->loop->now();
     const auto result = service_time ? this->gate.release(ticket, *service_time, now) : this->gate.cancel(ticket, now);
@@ -335,20 +330,6 @@
     }
 }
 
-void receiver::note_usual_time(const std::string& traffic_class, core::duration sample)
-{
-    const auto found = this->usual_times.find(traffic_class);
-    if (found != this->usual_times.end())
-    {
-        found->second += (sample - found->second) / usual_time_memory;
-        return;
-    }
-    if (this->usual_times.size() < greatest_classes)
-    {
-        this->usual_times.emplace(traffic_class, sample);
-    }
-}
-
 void receiver::schedule_expiry()
 {
     const auto next = this->gate.next_deadline();
