Stop using idle connections that the upstream may have ended

Cause: the pool reused connections for 15 s whatever the upstream's Keep-Alive stated, and went on reusing idle ones at an upstream that forgets them; a request that may not be repeated then ends as unknown. An answer from within the request hook closed its connection, since a request without a body did not count as complete there (found by the test). Change: client_connection::idle_limit and was_dropped; the pool keeps to the stated time less one second, and learns a limit from connections that are dropped within 100 ms of being used again.

--- a/libs/http/include/poplarport/http/client_connection.hpp
+++ b/libs/http/include/poplarport/http/client_connection.hpp
@@ -70,6 +70,12 @@
     /// @return whether the connection was closed
     [[nodiscard]] virtual bool is_closed() const noexcept = 0;
 
+    /// @return how long the other side keeps the connection idle, from Keep-Alive in its newest answer
+    [[nodiscard]] virtual std::optional<core::duration> idle_limit() const noexcept = 0;
+
+    /// @return whether the other side ended the connection before the first byte of the answer to a request
+    [[nodiscard]] virtual bool was_dropped() const noexcept = 0;
+
     /// @return whether a byte of the current request was handed to the kernel
     [[nodiscard]] virtual bool has_sent_bytes() const noexcept = 0;
 
--- a/libs/http/include/poplarport/http/client_pool.hpp
+++ b/libs/http/include/poplarport/http/client_pool.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
-#include <chrono>  // seconds
-#include <cstddef> // size_t
-#include <memory>  // shared_ptr
-#include <vector>  // vector
+#include <chrono>        // seconds
+#include <cstddef>       // size_t
+#include <memory>        // shared_ptr
+#include <optional>      // optional
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
 
 #include "poplarport/core/socket_address.hpp"
 #include "poplarport/core/time.hpp"
@@ -14,6 +16,9 @@
 {
 
 /// @brief Keep-alive connections to one address, never more than a limit.
+///
+/// A connection is not used again when the other side may have ended it meanwhile: after the time that its Keep-Alive
+/// states, and after a time that the pool learns from connections that were dropped when they were used again.
 class client_pool
 {
   public:
@@ -50,10 +55,22 @@
         core::time_point since;
     };
 
+    [[nodiscard]] bool is_outdated(const idle_connection& entry, core::time_point now) const;
+    void learn(const client_connection& connection, core::time_point now);
+
+    struct reuse
+    {
+        core::time_point at;
+        core::duration rested{0};
+    };
+
     net::event_loop* loop;
     core::socket_address target;
     limits chosen;
     std::vector<idle_connection> idle{};
+    std::unordered_map<const client_connection*, reuse> reused{}; ///< connections in use that had been idle
+    std::optional<core::duration> learned_limit{};
+    core::time_point learned_until{};
     std::size_t in_use{0};
 };
 
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -1,6 +1,11 @@
 #include "poplarport/http/client_connection.hpp"
 
-#include <utility> // exchange, move
+#include <charconv>     // from_chars
+#include <chrono>       // seconds
+#include <cstdint>      // uint32_t
+#include <string_view>  // string_view
+#include <system_error> // errc
+#include <utility>      // exchange, move
 
 #include "poplarport/http/detail/message_parser.hpp"
 #include "poplarport/http/errors.hpp"
@@ -15,6 +20,22 @@
 
 constexpr std::size_t response_header_limit_bytes = 32768;
 
+// Reads the parameter "timeout" of Keep-Alive, in whole seconds.
+std::optional<core::duration> keep_alive_timeout(const header_fields& fields)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto* const field = fields.find("Keep-Alive");
+    const auto position = field == nullptr ? std::string::npos : field->find(name);
+    if (position == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    std::uint32_t seconds = 0;
+    const auto* const end = field->data() + field->size();
+    const auto result = std::from_chars(field->data() + position + name.size(), end, seconds);
+    return result.ec == std::errc{} ? std::optional<core::duration>{std::chrono::seconds{seconds}} : std::nullopt;
+}
+
 class socket_client_connection final : public client_connection
 {
   public:
@@ -111,6 +132,16 @@
         return this->closed;
     }
 
+    [[nodiscard]] std::optional<core::duration> idle_limit() const noexcept override
+    {
+        return this->stated_idle_limit;
+    }
+
+    [[nodiscard]] bool was_dropped() const noexcept override
+    {
+        return this->dropped;
+    }
+
     [[nodiscard]] bool has_sent_bytes() const noexcept override
     {
         return this->socket->sent_bytes() > this->sent_at_start;
@@ -184,6 +215,7 @@
         }
         this->head_received = true;
         this->keep_alive = head.keep_alive && head.framing != body_framing::until_close;
+        this->stated_idle_limit = keep_alive_timeout(head.fields);
         if (running.on_head)
         {
             running.on_head(head);
@@ -235,6 +267,8 @@
     void fail(std::error_code reason)
     {
         const bool was_active = std::exchange(this->active, false);
+        const bool is_ended = reason == net::errc::connection_reset || reason == net::errc::connection_closed;
+        this->dropped = was_active && is_ended && !this->parser.has_started();
         this->closed = true;
         const client_failure failure{reason, this->has_sent_bytes(), this->head_received};
         this->socket->close();
@@ -253,6 +287,8 @@
     bool reading{true};
     bool keep_alive{true};
     bool head_received{false};
+    bool dropped{false};
+    std::optional<core::duration> stated_idle_limit{};
     bool request_finished{false};
     body_framing request_framing{body_framing::none};
     std::size_t sent_at_start{0};
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -324,6 +324,8 @@
                                          bool is_first)
     : connection(std::move(carrier)), head(std::move(received)), may_overlap(overlaps)
 {
+    // Without a body the request is complete, so that an answer from within the request hook keeps the connection.
+    this->body_received = this->head.framing == body_framing::none;
     if (!is_first)
     {
         this->held.emplace();
@@ -379,8 +381,7 @@
     }
     const bool stops_here = carrier->owner->draining && carrier->exchanges.size() <= 1;
     const bool is_last = answer.framing == body_framing::until_close || stops_here;
-    answer.keep_alive = answer.keep_alive && this->head.keep_alive && this->head.minor_version > 0 && !is_last &&
-                        (this->body_received || this->head.framing != body_framing::none);
+    answer.keep_alive = answer.keep_alive && this->head.keep_alive && this->head.minor_version > 0 && !is_last;
     this->framing = answer.framing;
     this->remaining = answer.content_length;
     this->keep_alive = answer.keep_alive;
