Reject a delayed word of an earlier start while the present one is heard of

Cause: read of the registry. After a restart of the node nothing was known of the starts before, so an announcement of an earlier start that came late took the place of the live one, whose own announcements then counted as outdated.

--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -39,6 +39,8 @@
         mesh_settings settings;
         std::vector<std::string> ran; ///< targets of the requests that the upstream ran
         int status{200};              ///< of the upstream's answers
+        int health_status{200};       ///< of the upstream's answers to status checks
+        int cancelled{0};             ///< held requests whose connection the node has ended
         bool stopped{false};
         bool holds_answers{false}; ///< the upstream leaves requests without an answer
         std::vector<std::shared_ptr<http::server_exchange>> held{};
@@ -60,24 +62,7 @@
     {
         auto& added = *this->members.emplace_back(std::make_unique<member>());
         added.objects = std::make_unique<memory_store>(this->loop, this->content);
-        added.upstream = std::make_unique<http::server>(
-            http::server::builder{}
-                .listen_on({"127.0.0.1", 0})
-                .on_request(
-                    [target = &added](const std::shared_ptr<http::server_exchange>& exchange)
-                    {
-                        if (exchange->request().target != "/health")
-                        {
-                            target->ran.push_back(exchange->request().target);
-                        }
-                        if (target->holds_answers && exchange->request().target != "/health")
-                        {
-                            target->held.push_back(exchange);
-                            return;
-                        }
-                        http::respond(*exchange, {.status = target->status}, "done");
-                    })
-                .build(this->loop));
+        this->start_upstream(added, {"127.0.0.1", 0});
         auto& settings = added.settings;
         settings.id = "n" + std::to_string(this->members.size());
         settings.service = service;
@@ -91,6 +76,40 @@
         return added;
     }
 
+    // Starts the upstream, again on its address after its end.
+    void start_upstream(member& target, const core::socket_address& address)
+    {
+        target.upstream = std::make_unique<http::server>(
+            http::server::builder{}
+                .listen_on(address)
+                .on_request([&target](const std::shared_ptr<http::server_exchange>& exchange)
+                            { small_mesh::answer(target, exchange); })
+                .build(this->loop));
+    }
+
+    static void answer(member& target, const std::shared_ptr<http::server_exchange>& exchange)
+    {
+        if (exchange->request().target == "/health")
+        {
+            http::respond(*exchange, {.status = target.health_status}, "health");
+            return;
+        }
+        target.ran.push_back(exchange->request().target);
+        if (target.holds_answers)
+        {
+            target.held.push_back(exchange);
+            exchange->set_hooks({.on_body = {},
+                                 .on_body_end = {},
+                                 .on_writable = {},
+                                 .on_cancelled = [&target](std::error_code)
+                                 {
+                                     ++target.cancelled;
+                                 }});
+            return;
+        }
+        http::respond(*exchange, {.status = target.status}, "done");
+    }
+
     void start(member& target)
     {
         target.stopped = false;
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -163,3 +163,67 @@
         each->abort();
     }
 }
+
+// Guards against an upstream that works on for a caller that has left, where another node took the call.
+TEST(mesh_node, the_upstream_of_another_node_learns_that_the_caller_has_left)
+{
+    mesh::small_mesh mesh{{"orders", "stock"}};
+    mesh.configure("1 /o/=orders /s/=stock");
+    auto& orders = *mesh.members[0];
+    auto& stock = *mesh.members[1];
+    CHECK_FALSE(mesh.announce(orders));
+    CHECK_FALSE(mesh.announce(stock));
+    CHECK(mesh.becomes(orders, "/s/1", 200));
+    stock.holds_answers = true;
+    const auto connection = mesh.send(orders, "/s/2", [](int) {});
+    mesh.run_until([&] { return !stock.held.empty(); });
+    connection->abort();
+    const auto begin = mesh.loop.now();
+    mesh.run_until([&] { return stock.cancelled == 1; });
+    CHECK(mesh.loop.now() - begin < 500ms);
+}
+
+// Guards against an upstream that is given up because it calls itself ill, while it serves all its requests.
+TEST(mesh_node, an_upstream_that_only_calls_itself_ill_stays_in_use)
+{
+    mesh::small_mesh mesh{{"orders"}};
+    mesh.configure("1 /o/=orders");
+    auto& only = *mesh.members[0];
+    CHECK_FALSE(mesh.announce(only));
+    CHECK(mesh.becomes(only, "/o/1", 200));
+    only.health_status = 503;
+    mesh.wait(400ms);
+    LONGS_EQUAL(200, mesh.call(only, "/o/2"));
+}
+
+// Guards against requests that fail while their upstream goes down and up, and against one that never gets work again.
+TEST(mesh_node, requests_pass_by_an_upstream_that_is_down_until_it_is_back)
+{
+    mesh::small_mesh mesh{{"orders", "orders"}};
+    mesh.configure("1 /o/=orders");
+    auto& first = *mesh.members[0];
+    auto& second = *mesh.members[1];
+    CHECK_FALSE(mesh.announce(first));
+    CHECK_FALSE(mesh.announce(second));
+    CHECK(mesh.becomes(first, "/o/1", 200));
+    CHECK(mesh.becomes(second, "/o/1", 200));
+    const auto address = first.settings.upstream;
+    for (int turn = 0; turn < 3; ++turn)
+    {
+        first.upstream.reset();
+        for (int request = 0; request < 10; ++request)
+        {
+            LONGS_EQUAL(200, mesh.call(first, "/o/2"));
+            mesh.wait(30ms);
+        }
+        mesh.start_upstream(first, address);
+        const auto before = first.ran.size();
+        const auto limit = mesh.loop.now() + 3s;
+        while (first.ran.size() == before && mesh.loop.now() < limit)
+        {
+            LONGS_EQUAL(200, mesh.call(first, "/o/3"));
+            mesh.wait(20ms);
+        }
+        CHECK(first.ran.size() > before);
+    }
+}
--- a/libs/registration/include/poplarport/registration/registry.hpp
+++ b/libs/registration/include/poplarport/registration/registry.hpp
@@ -96,7 +96,7 @@
     }
 
   private:
-    [[nodiscard]] std::error_code check(const announcement& value) const;
+    [[nodiscard]] std::error_code check(const announcement& value, core::time_point now) const;
     [[nodiscard]] bool is_over(const upstream_start& start) const;
     void begin(const announcement& value);
     void end_current();
--- a/libs/registration/src/registry.cpp
+++ b/libs/registration/src/registry.cpp
@@ -1,6 +1,7 @@
 #include "poplarport/registration/registry.hpp"
 
 #include <algorithm> // ranges::find
+#include <chrono>    // seconds
 #include <utility>   // move
 
 namespace poplarport::registration
@@ -12,6 +13,10 @@
 // Starts that are remembered as over; a late announcement is delayed by seconds, and starts are seconds apart.
 constexpr std::size_t remembered_starts = 32;
 
+// Announcements come every one to two seconds. An earlier start than the one that was heard of within this time is a
+// delayed word; after it, the clock of the present start may have been set back.
+constexpr std::chrono::seconds silence_of_ended{5};
+
 } // namespace
 
 std::string to_string(const upstream_start& start)
@@ -26,7 +31,7 @@
 
 std::error_code registry::announce(const announcement& value, core::time_point now)
 {
-    if (const auto error = this->check(value))
+    if (const auto error = this->check(value, now))
     {
         return error;
     }
@@ -109,7 +114,7 @@
     return true;
 }
 
-std::error_code registry::check(const announcement& value) const
+std::error_code registry::check(const announcement& value, core::time_point now) const
 {
     if (value.start.id.empty() || value.slots == 0)
     {
@@ -127,10 +132,11 @@
     {
         return errc::outdated;
     }
-    // The same id with an earlier time of start is a delayed word of an earlier start.
-    const bool is_earlier =
-        value.start.id == this->upstream.start.id && value.start.born_ms < this->upstream.start.born_ms;
-    return is_earlier ? std::error_code{errc::outdated} : std::error_code{};
+    const bool is_earlier = value.start.born_ms < this->upstream.start.born_ms;
+    const bool is_same_id = value.start.id == this->upstream.start.id;
+    const bool is_live =
+        this->upstream.state == upstream_state::ready && now - this->upstream.heard_at < silence_of_ended;
+    return is_earlier && (is_same_id || is_live) ? std::error_code{errc::outdated} : std::error_code{};
 }
 
 bool registry::is_over(const upstream_start& start) const
--- a/libs/registration/tests/unit-registry.cpp
+++ b/libs/registration/tests/unit-registry.cpp
@@ -119,3 +119,18 @@
     CHECK_FALSE(registry.leave({"i-1", 100}, start));
     CHECK_FALSE(registry.adopt("i-1", 9, start));
 }
+
+// Guards against a word that was delayed by a partition and comes after a new start at the address: it would take the
+// place of the new start, whose own words would then count as outdated for good.
+TEST(registry, a_delayed_word_of_an_earlier_start_does_not_replace_a_live_one)
+{
+    auto registry = make_registry();
+    CHECK_FALSE(registry.announce(make_announcement("i-2", 200, 1), start));
+    CHECK(registry.announce(make_announcement("i-1", 100, 9), start + 3s) == errc::outdated);
+    CHECK(registry.current().start.id == "i-2");
+    CHECK_FALSE(registry.announce(make_announcement("i-2", 200, 2), start + 4s));
+    // A start whose clock was set back is taken once the former one is silent.
+    CHECK(registry.announce(make_announcement("i-3", 150, 1), start + 5s) == errc::outdated);
+    CHECK_FALSE(registry.announce(make_announcement("i-3", 150, 4), start + 10s));
+    CHECK(registry.current().start.id == "i-3");
+}
