Keep all records of a sample of requests when the log's limit is reached

Records were also built before the limit dropped them. Change: request_log_limit: half of the limit is left to one request in eight by a hash of its id, the same on all nodes, calls with their origin; is_request_logged is asked before a record is built and replaces write_limited. Figures: unit_observability under_load: 1,200 records of 300 requests in a second, no sampled one lost, at most 400 written.

--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -64,6 +64,28 @@
     return located_target{std::string{authority}, std::string{rest.substr(slash)}};
 }
 
+void log_end(const node::call_description& description, const node::call_result& result, const std::string& route,
+             core::version configuration, core::duration time_left)
+{
+    if (!observability::is_request_logged(observability::log_level::info, description.id))
+    {
+        return;
+    }
+    observability::log_record{"request_ended"}
+        .with("id", description.id)
+        .with("route", route)
+        .with("service", description.service)
+        .with("class", description.traffic_class)
+        .with("configuration", static_cast<std::int64_t>(configuration))
+        .with("status", result.status)
+        .with("outcome", core::to_string(result.outcome))
+        .with("code", result.code.value())
+        .with("attempts", static_cast<std::int64_t>(result.attempts))
+        .with("took_us", result.latency)
+        .with("time_left_us", time_left)
+        .write(observability::log_level::info);
+}
+
 } // namespace
 
 entry::entry(net::event_loop& owner, const mesh_settings& values, const adapter& installation, std::mt19937_64& engine,
@@ -201,19 +223,7 @@
     driver_hooks.on_finished =
         [this, number, description, route_name = route.name, version = this->table->version()](const auto& result)
     {
-        observability::log_record{"request_ended"}
-            .with("id", description.id)
-            .with("route", route_name)
-            .with("service", description.service)
-            .with("class", description.traffic_class)
-            .with("configuration", static_cast<std::int64_t>(version))
-            .with("status", result.status)
-            .with("outcome", core::to_string(result.outcome))
-            .with("code", result.code.value())
-            .with("attempts", static_cast<std::int64_t>(result.attempts))
-            .with("took_us", result.latency)
-            .with("time_left_us", description.deadline - this->loop->now())
-            .write_limited(observability::log_level::info);
+        log_end(description, result, route_name, version, description.deadline - this->loop->now());
         this->end_call(number, description, result);
     };
     const auto driver =
@@ -232,14 +242,17 @@
 void entry::refuse(http::server_exchange& exchange, int status, std::error_code reason, core::request_id id)
 {
     this->events.on_refused(reason);
-    observability::log_record{"request_refused"}
-        .with("id", id)
-        .with("target", exchange.request().target)
-        .with("configuration", static_cast<std::int64_t>(this->table ? this->table->version() : 0))
-        .with("status", status)
-        .with("code", reason.value())
-        .with("reason", reason.message())
-        .write_limited(observability::log_level::info);
+    if (observability::is_request_logged(observability::log_level::info, id))
+    {
+        observability::log_record{"request_refused"}
+            .with("id", id)
+            .with("target", exchange.request().target)
+            .with("configuration", static_cast<std::int64_t>(this->table ? this->table->version() : 0))
+            .with("status", status)
+            .with("code", reason.value())
+            .with("reason", reason.message())
+            .write(observability::log_level::info);
+    }
     node::call_description description;
     description.id = std::move(id);
     node::own_answer_reason why{core::outcome::not_run, reason, status, std::nullopt};
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -231,7 +231,7 @@
 
 void local_channel::log_end(std::error_code reason) const
 {
-    if (!observability::is_logged(observability::log_level::debug))
+    if (!observability::is_request_logged(observability::log_level::debug, this->call.id))
     {
         return;
     }
@@ -252,7 +252,7 @@
         .with("slowdown_percent", load.slowdown_percent)
         .with("load_age_us", this->owner->load_age().value_or(unknown_age))
         .with("time_left_us", this->call.deadline - now)
-        .write_limited(observability::log_level::debug);
+        .write(observability::log_level::debug);
 }
 
 void local_channel::close_connection(bool reusable)
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -219,7 +219,7 @@
 void service_router::log_choice(const routing::endpoint& target, const call_description& description,
                                 const attempts::start_parameters& parameters) const
 {
-    if (!observability::is_logged(observability::log_level::debug))
+    if (!observability::is_request_logged(observability::log_level::debug, description.id))
     {
         return;
     }
@@ -239,7 +239,7 @@
         .with("own_calls", static_cast<std::int64_t>(known.own_calls))
         .with("report_age_us", known.age)
         .with("time_left_us", parameters.time_left)
-        .write_limited(observability::log_level::debug);
+        .write(observability::log_level::debug);
 }
 
 std::optional<routing::endpoint> service_router::choose(const attempts::start_parameters& parameters)
--- a/libs/observability/include/poplarport/observability/log_record.hpp
+++ b/libs/observability/include/poplarport/observability/log_record.hpp
@@ -38,6 +38,10 @@
 /// @return whether records of a level are written; asked before a record that would cost time for each request
 [[nodiscard]] bool is_logged(log_level level) noexcept;
 
+/// @brief Decides on a record of a single request before it is built; a record that is left out is counted.
+/// @return whether the level is written and the limit of such records admits it, see request_log_limit
+[[nodiscard]] bool is_request_logged(log_level level, std::string_view id) noexcept;
+
 /// @return records that were not written since the start, because there were too many or the reader was too slow
 [[nodiscard]] std::uint64_t dropped_records() noexcept;
 
@@ -46,7 +50,7 @@
 
 /// @brief One structured log record.
 ///
-/// Records of state changes use write(), records of single requests write_limited().
+/// A record of a single request is built only when is_request_logged() admits it.
 /// Fields must not hold secrets: no credential, no header field of a caller.
 class log_record
 {
@@ -69,11 +73,6 @@
     /// @brief Writes the record.
     void write(log_level level) const;
 
-    /// @brief Writes the record unless too many were written within the last second.
-    ///
-    /// For records that are written for each request; the number of those that were left out is counted.
-    void write_limited(log_level level) const;
-
     /// @return the record as JSON, without time and level
     [[nodiscard]] std::string text() const;
 
--- a/libs/observability/src/log_record.cpp
+++ b/libs/observability/src/log_record.cpp
@@ -4,6 +4,8 @@
 #include <chrono> // steady_clock, system_clock
 #include <ctime>  // gmtime_r, strftime
 
+#include "poplarport/observability/request_log_limit.hpp"
+
 #include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -56,9 +58,6 @@
     return std::string{text.data(), length} + "." + fraction + "Z";
 }
 
-// Records of single requests within a second; beyond them a busy node would spend its processor time on its log.
-constexpr std::uint32_t limited_records_per_second = 400;
-
 std::uint64_t dropped{0};
 
 log_level least_level{log_level::info};
@@ -100,19 +99,6 @@
     int descriptor;
 };
 
-bool take_from_limit()
-{
-    static std::chrono::steady_clock::time_point window_start{};
-    static std::uint32_t written = 0;
-    const auto now = std::chrono::steady_clock::now();
-    if (now - window_start >= std::chrono::seconds{1})
-    {
-        window_start = now;
-        written = 0;
-    }
-    return ++written <= limited_records_per_second;
-}
-
 } // namespace
 
 struct log_record::state
@@ -131,6 +117,18 @@
     return least_level <= level;
 }
 
+bool is_request_logged(log_level level, std::string_view id) noexcept
+{
+    static request_log_limit limit;
+    if (!is_logged(level))
+    {
+        return false;
+    }
+    const bool is_admitted = limit.admits(id, std::chrono::steady_clock::now());
+    dropped += is_admitted ? 0 : 1;
+    return is_admitted;
+}
+
 std::uint64_t dropped_records() noexcept
 {
     return dropped;
@@ -191,16 +189,6 @@
     return this->data->fields.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-void log_record::write_limited(log_level level) const
-{
-    if (!take_from_limit())
-    {
-        ++dropped;
-        return;
-    }
-    this->write(level);
-}
-
 void log_record::write(log_level level) const
 {
     auto logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(logger_name));
--- a/libs/observability/tests/unit-observability.cpp
+++ b/libs/observability/tests/unit-observability.cpp
@@ -3,6 +3,7 @@
 
 #include "poplarport/observability/log_record.hpp"
 #include "poplarport/observability/metrics.hpp"
+#include "poplarport/observability/request_log_limit.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -22,6 +23,36 @@
     CHECK(text.find("\"number\":7") != std::string::npos);
 }
 
+// Guards against a log that holds a few records of every request under load and so all records of none.
+TEST(observability, under_load_sampled_requests_keep_their_records)
+{
+    constexpr int requests = 300;
+    constexpr int records_each = 4;
+    observability::request_log_limit limit;
+    std::chrono::steady_clock::time_point now{1h};
+    int sampled_lost = 0;
+    int sampled = 0;
+    int written = 0;
+    for (int number = 0; number < requests; ++number)
+    {
+        const auto id = "request-" + std::to_string(number);
+        const bool is_sampled = observability::request_log_limit::is_sampled(id);
+        CHECK_EQUAL(is_sampled, observability::request_log_limit::is_sampled(id + ".call-7"));
+        sampled += is_sampled ? 1 : 0;
+        for (int record = 0; record < records_each; ++record)
+        {
+            const bool is_admitted = limit.admits(record % 2 == 0 ? id : id + ".call-7", now);
+            sampled_lost += is_sampled && !is_admitted ? 1 : 0;
+            written += is_admitted ? 1 : 0;
+        }
+    }
+    CHECK(sampled > requests / 16 && sampled < requests / 4);
+    LONGS_EQUAL(0, sampled_lost);
+    CHECK(written <= 400);
+    now += 1s;
+    CHECK(limit.admits("any", now));
+}
+
 // Guards against memory that grows with every name a caller makes up.
 TEST(observability, labels_are_bounded)
 {
