Let other nodes watch the store in place of those that it turns away

Version 178 came into force with the first node that was served again, 5.5 s after its ack. Ruled out: the gossip of versions; no node had version 178 before 32.5 s. Change: a watcher whom the store has not answered twice in a row says so in its member entry; the next ones by rank watch in its place, at most twelve, and it is back with its first answer (record configuration_store_reached). Figures: unit_mesh others_watch fails when the flag is not counted, and passes.

--- a/libs/membership/include/poplarport/membership/detector.hpp
+++ b/libs/membership/include/poplarport/membership/detector.hpp
@@ -94,6 +94,9 @@
     /// @brief Announces whether this member's upstream takes new work; unlike drain() this can change again.
     void set_accepting(bool accepting, core::time_point now);
 
+    /// @brief Announces whether the store answers this member, so that another one watches the store in its place.
+    void set_reaches_store(bool reaches, core::time_point now);
+
     /// @brief Announces that a start of this member's upstream has left.
     /// @param[in] upstream names the start; not empty
     void set_departed(std::string upstream, core::time_point now);
--- a/libs/membership/include/poplarport/membership/member.hpp
+++ b/libs/membership/include/poplarport/membership/member.hpp
@@ -32,8 +32,9 @@
     member_state state{member_state::alive};
     bool draining{false};                   ///< takes no new work; never undone within an incarnation
     core::version configuration_version{0}; ///< newest that the member holds; changes without a new revision
-    std::string service;  ///< service of the member's upstream, in a group of several services; else empty
-    bool accepting{true}; ///< the member's upstream takes new work; may change with each revision
+    std::string service;      ///< service of the member's upstream, in a group of several services; else empty
+    bool accepting{true};     ///< the member's upstream takes new work; may change with each revision
+    bool reaches_store{true}; ///< the store answers the member; may change with each revision
     /// Start of the member's upstream that has announced its departure; empty for none. Kept over restarts of the node.
     std::string departed;
 
--- a/libs/membership/src/detector.cpp
+++ b/libs/membership/src/detector.cpp
@@ -105,6 +105,17 @@
     this->publish_own(now);
 }
 
+void detector::set_reaches_store(bool reaches, core::time_point now)
+{
+    if (reaches == this->own.reaches_store)
+    {
+        return;
+    }
+    this->own.reaches_store = reaches;
+    ++this->own.revision;
+    this->publish_own(now);
+}
+
 void detector::set_departed(std::string upstream, core::time_point now)
 {
     assert(!upstream.empty());
--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -31,6 +31,7 @@
     {
         std::function<void(const std::shared_ptr<const routes::route_table>&)> on_table; ///< a newer version holds
         std::function<peer::link*(const core::node_id&)> link_of; ///< link to a member, or nullptr
+        std::function<void(bool)> on_store_reached; ///< the store has stopped, or begun again, to answer this node
     };
 
     /// @param[in] loop        loop of the node
@@ -68,6 +69,7 @@
     void handle_list(const store::outcome<store::listing>& result);
     void handle_changes(const store::outcome<store::change_list>& result);
     void handle_failure(std::error_code error);
+    void handle_success();
     void take(const std::string& text, std::string_view source);
     void pull();
     [[nodiscard]] std::vector<core::node_id> newer_members() const;
@@ -83,7 +85,8 @@
     configuration::document held{};
     std::optional<store::revision> listed_at{};
     bool calling{false};
-    int pulls{0}; ///< requests to members that are in progress
+    int failures{0}; ///< calls in a row that the store did not answer
+    int pulls{0};    ///< requests to members that are in progress
     core::duration back_off;
     net::timer store_wakeup;
     net::timer pull_wakeup;
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -15,9 +15,15 @@
 namespace
 {
 
-// Nodes that watch the store. A store that turns every third node away leaves no watcher in 1 case of 700.
+// Nodes that watch the store.
 constexpr std::size_t watcher_count = 6;
 
+// Nodes that may replace watchers whom the store does not answer, at most. All nodes would call a store that is down.
+constexpr std::size_t greatest_replacements = 12;
+
+// A single lost answer is no reason to be replaced.
+constexpr int failures_until_replaced = 2;
+
 // Each watch costs one call; the store ends it earlier when there is a change.
 constexpr std::chrono::seconds watch_wait{20};
 
@@ -80,10 +86,17 @@
 bool configuration_task::watches() const
 {
     const auto own_weight = membership::rendezvous_weight("configuration", this->self);
-    const auto ahead = std::ranges::count_if(
-        this->members, [&](const membership::member& each)
-        { return each.id != this->self && membership::rendezvous_weight("configuration", each.id) > own_weight; });
-    return static_cast<std::size_t>(ahead) < watcher_count;
+    std::size_t ahead = 0;
+    std::size_t watching = 0;
+    for (const auto& each : this->members)
+    {
+        if (each.id != this->self && membership::rendezvous_weight("configuration", each.id) > own_weight)
+        {
+            ++ahead;
+            watching += each.reaches_store ? 1 : 0;
+        }
+    }
+    return watching < watcher_count && ahead < watcher_count + greatest_replacements;
 }
 
 void configuration_task::list()
@@ -110,7 +123,7 @@
         this->handle_failure(result.error);
         return;
     }
-    this->back_off = first_back_off;
+    this->handle_success();
     this->listed_at = result.value->at;
     for (const auto& each : result.value->objects)
     {
@@ -154,7 +167,7 @@
         this->handle_failure(result.error);
         return;
     }
-    this->back_off = first_back_off;
+    this->handle_success();
     this->listed_at = std::max(*this->listed_at, result.value->at);
     for (const auto& each : result.value->changes)
     {
@@ -169,6 +182,18 @@
     }
 }
 
+void configuration_task::handle_success()
+{
+    this->back_off = first_back_off;
+    if (std::exchange(this->failures, 0) >= failures_until_replaced)
+    {
+        observability::log_record{"configuration_store_reached"}
+            .with("held_version", static_cast<std::int64_t>(this->held.version))
+            .write(observability::log_level::info);
+        this->events.on_store_reached(true);
+    }
+}
+
 void configuration_task::handle_failure(std::error_code error)
 {
     observability::log_record{"configuration_store_failed"}
@@ -178,6 +203,10 @@
         .with("retry_ms", std::chrono::duration_cast<std::chrono::milliseconds>(this->back_off).count())
         .write(observability::log_level::warning);
     const bool lost_history = error == store::errc::history_lost;
+    if (!lost_history && ++this->failures == failures_until_replaced)
+    {
+        this->events.on_store_reached(false);
+    }
     this->store_wakeup.schedule(lost_history ? core::duration{0} : membership::around(this->back_off, *this->random));
     this->back_off = std::min<core::duration>(this->back_off * 2, longest_back_off);
 }
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -165,10 +165,13 @@
         *this->loop, this->settings.id, this->settings.availability_zone, this->identity.cluster_key, this->site,
         this->random,
         configuration_task::hooks{.on_table = [this](const auto& value) { this->on_table(value); },
-                                  .link_of =
-                                      [this](const core::node_id& id)
+                                  .link_of = [this](const core::node_id& id) { return this->link_of(id); },
+                                  .on_store_reached =
+                                      [this](bool reached)
                                   {
-                                      return this->link_of(id);
+                                      this->gossip->update(
+                                          [reached](membership::detector& detector, core::time_point now)
+                                          { detector.set_reaches_store(reached, now); });
                                   }});
     this->discovery = std::make_unique<discovery_task>(
         *this->loop, this->settings.id, this->settings.listen.peers, *this->site.objects, this->random,
--- a/libs/mesh/tests/memory_store.hpp
+++ b/libs/mesh/tests/memory_store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>  // ranges::any_of
 #include <functional> // function
 #include <map>        // map
 #include <string>     // string
@@ -20,6 +21,7 @@
         std::string kind;
         store::revision after;
         store::object_store::watch_hook hook;
+        const void* from{nullptr}; ///< the client that waits
     };
 
     std::map<std::pair<std::string, std::string>, store::object> objects{};
@@ -58,6 +60,27 @@
 
     bool refuses{false}; ///< every call ends with errc::refused
 
+    [[nodiscard]] bool has_watch() const
+    {
+        return std::ranges::any_of(this->content->watches, [this](const auto& each) { return each.from == this; });
+    }
+
+    // Refuses every call from now on, and ends the waiting watches.
+    void turn_away()
+    {
+        this->refuses = true;
+        const auto open = std::exchange(this->content->watches, {});
+        for (const auto& each : open)
+        {
+            if (each.from != this)
+            {
+                this->content->watches.push_back(each);
+                continue;
+            }
+            this->answer<store::change_list>(each.hook, {});
+        }
+    }
+
     void list(const std::string& kind, list_hook hook) override
     {
         store::listing result;
@@ -92,7 +115,7 @@
             this->answer<store::change_list>(std::move(hook), {missed, {}, {}});
             return;
         }
-        this->content->watches.push_back({kind, after, std::move(hook)});
+        this->content->watches.push_back({kind, after, std::move(hook), this});
     }
 
     void get(const std::string& kind, const std::string& name, object_hook hook) override
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -227,3 +227,34 @@
         CHECK(first.ran.size() > before);
     }
 }
+
+// Guards against a version that reaches no node because the store turns away all of those that watch it.
+TEST(mesh_node, others_watch_the_store_in_place_of_those_that_it_turns_away)
+{
+    constexpr std::size_t turned_away = 6;
+    mesh::small_mesh mesh{std::vector<std::string>(turned_away + 2, "orders")};
+    mesh.configure("1 /o/=orders");
+    for (const auto& each : mesh.members)
+    {
+        CHECK_FALSE(mesh.announce(*each));
+        CHECK(mesh.becomes(*each, "/o/1", 200));
+    }
+    // At its start each node watches; the next change ends those watches.
+    mesh.configure("2 /o/=orders");
+    mesh.wait(500ms);
+    std::size_t refused = 0;
+    for (const auto& each : mesh.members)
+    {
+        if (each->objects->has_watch())
+        {
+            each->objects->turn_away();
+            ++refused;
+        }
+    }
+    LONGS_EQUAL(turned_away, refused);
+    mesh.configure("3 /o/=orders /n/=orders");
+    for (const auto& each : mesh.members)
+    {
+        CHECK(mesh.becomes(*each, "/n/1", 200));
+    }
+}
--- a/libs/node/src/gossip_task.cpp
+++ b/libs/node/src/gossip_task.cpp
@@ -48,6 +48,7 @@
         .with("revision", event.member.revision)
         .with("draining", event.member.draining ? "true" : "false")
         .with("accepting", event.member.accepting ? "true" : "false")
+        .with("reaches_store", event.member.reaches_store ? "true" : "false")
         .with("configuration", static_cast<std::int64_t>(event.member.configuration_version))
         .write(is_routine ? observability::log_level::debug : observability::log_level::info);
 }
--- a/libs/wire/src/member_codec.cpp
+++ b/libs/wire/src/member_codec.cpp
@@ -38,6 +38,10 @@
         value["u"] = member.service;
         value["a"] = member.accepting;
     }
+    if (!member.reaches_store)
+    {
+        value["b"] = false;
+    }
     if (!member.departed.empty())
     {
         value["l"] = member.departed;
@@ -63,6 +67,10 @@
         member.service = reader.text("u", 1, greatest_name_length);
         member.accepting = reader.boolean("a");
     }
+    if (!reader.value("b").is_null())
+    {
+        member.reaches_store = reader.boolean("b");
+    }
     if (!reader.value("l").is_null())
     {
         member.departed = reader.text("l", 1, greatest_name_length);
--- a/libs/wire/tests/unit-datagram.cpp
+++ b/libs/wire/tests/unit-datagram.cpp
@@ -35,6 +35,7 @@
     auto member = make_member("m");
     member.service = "stock";
     member.accepting = false;
+    member.reaches_store = false;
     member.departed = "i-1@100";
     return member;
 }
