Keep requests off slow, silent and suspect VMs in large groups, and hedge late repeatable ones

Change: an assumed service time before the first measured one; peers without a report are candidates, at the median speed of the known ones; both VMs are compared with the service time of the same request. Suspect members are used only if nothing else is left. Repeatable requests without a response after twice the route's usual latency are sent to a second upstream, within half of the retry budget; no attempt starts with less than half of the usual latency left. The reserve counts with its fraction. Retry-After says when a place can be expected, spread, urgent callers first (admission::retry_after). Failed store calls back off from 250 ms.

--- a/libs/attempts/include/poplarport/attempts/call_settings.hpp
+++ b/libs/attempts/include/poplarport/attempts/call_settings.hpp
@@ -28,6 +28,8 @@
     /// Maximum depth at which a call is retried or hedged. With three attempts, at most 15 attempts reach the last of
     /// 12 levels.
     std::uint32_t depth{3};
+    /// Part of the retry budget that hedges may use; the rest is left for retries after failures.
+    double hedge_budget_fraction{1.0};
     /// Minimum remaining time for which another attempt starts.
     core::duration minimum_time_left{std::chrono::microseconds{500}};
     /// Maximum number of retries after proof that no upstream received the request. They are sent immediately, do not
--- a/libs/attempts/include/poplarport/attempts/retry_budget.hpp
+++ b/libs/attempts/include/poplarport/attempts/retry_budget.hpp
@@ -15,8 +15,9 @@
     /// Retries per call. A ratio of 0.1 keeps the added load small when every call of a service fails.
     double ratio{0.1};
     /// Retries per window that are permitted regardless of the number of calls; without them, a service with few calls
-    /// would never be retried.
-    std::uint64_t minimum{3};
+    /// would never be retried. A fraction counts together with that of the ratio: the share of one of many nodes may be
+    /// less than one retry.
+    double minimum{3.0};
     /// Span over which calls and retries are counted.
     core::duration window{std::chrono::seconds{10}};
     /// Number of buckets that the window is divided into; counts expire one bucket at a time.
@@ -31,7 +32,7 @@
     explicit retry_budget(retry_budget_settings settings = {});
 
     /// @brief Changes the number of retries per call and the minimum per window; the counts are kept.
-    void set_limits(double ratio, std::uint64_t minimum) noexcept
+    void set_limits(double ratio, double minimum) noexcept
     {
         this->limits.ratio = ratio;
         this->limits.minimum = minimum;
@@ -41,11 +42,13 @@
     void on_call(core::time_point now);
 
     /// @brief Takes one retry or hedge from the budget.
+    /// @param[in] now      current time
+    /// @param[in] fraction part of the budget that may be used up, from 0 to 1
     /// @return whether the budget permitted it
-    [[nodiscard]] bool try_spend(core::time_point now);
+    [[nodiscard]] bool try_spend(core::time_point now, double fraction = 1.0);
 
-    /// @return the number of retries and hedges that may start at `now`
-    [[nodiscard]] std::uint64_t available(core::time_point now);
+    /// @return the number of retries and hedges that may start at `now`, of the given part of the budget
+    [[nodiscard]] std::uint64_t available(core::time_point now, double fraction = 1.0);
 
     /// @return the number of retries and hedges that were refused
     [[nodiscard]] std::uint64_t refused() const noexcept
--- a/libs/attempts/src/call.cpp
+++ b/libs/attempts/src/call.cpp
@@ -347,7 +347,7 @@
         return;
     }
     this->hedge_due.reset();
-    if (this->check_retry_allowed(now) || !this->budget->try_spend(now))
+    if (this->check_retry_allowed(now) || !this->budget->try_spend(now, this->limits.hedge_budget_fraction))
     {
         return;
     }
--- a/libs/attempts/src/retry_budget.cpp
+++ b/libs/attempts/src/retry_budget.cpp
@@ -21,9 +21,9 @@
     ++this->totals.calls;
 }
 
-bool retry_budget::try_spend(core::time_point now)
+bool retry_budget::try_spend(core::time_point now, double fraction)
 {
-    if (this->available(now) == 0)
+    if (this->available(now, fraction) == 0)
     {
         ++this->refused_count;
         return false;
@@ -33,11 +33,11 @@
     return true;
 }
 
-std::uint64_t retry_budget::available(core::time_point now)
+std::uint64_t retry_budget::available(core::time_point now, double fraction)
 {
     this->advance(now);
-    const auto permitted_by_ratio = std::floor(this->limits.ratio * static_cast<double>(this->totals.calls));
-    const auto allowed = this->limits.minimum + static_cast<std::uint64_t>(permitted_by_ratio);
+    const auto budget = this->limits.minimum + this->limits.ratio * static_cast<double>(this->totals.calls);
+    const auto allowed = static_cast<std::uint64_t>(std::floor(budget * fraction));
     return allowed > this->totals.retries ? allowed - this->totals.retries : 0;
 }
 
--- a/libs/attempts/tests/unit-call_property.cpp
+++ b/libs/attempts/tests/unit-call_property.cpp
@@ -17,7 +17,7 @@
 {
 
 constexpr double ratio = 0.2;
-constexpr std::uint64_t minimum = 1;
+constexpr double minimum = 1.0;
 constexpr core::time_point test_start{1000s};
 
 /// @brief A call whose actions are checked against an independent model of what its attempts may have done.
@@ -219,6 +219,6 @@
                        }
                        const auto permitted_by_ratio =
                            static_cast<std::uint64_t>(ratio * static_cast<double>(counted_calls));
-                       RC_ASSERT(charged_count <= minimum + permitted_by_ratio);
+                       RC_ASSERT(charged_count <= static_cast<std::uint64_t>(minimum) + permitted_by_ratio);
                    });
 }
--- a/libs/attempts/tests/unit-retry_budget.cpp
+++ b/libs/attempts/tests/unit-retry_budget.cpp
@@ -72,3 +72,30 @@
     CHECK_FALSE(tested_budget.try_spend(core::time_point{1000000h}));
     LONGS_EQUAL(1, tested_budget.refused());
 }
+
+// Pattern: a budget shared by hundreds of nodes, of which each has less than one retry of the reserve. Rounded to zero,
+// a part of the requests that fail would be tried only once.
+TEST(retry_budget, fractions_of_the_reserve_and_the_ratio_count_together)
+{
+    const auto start = core::time_point{1000s};
+    attempts::retry_budget budget{{0.07, 0.75, 10s, 10}};
+    for (int call = 0; call < 4; ++call)
+    {
+        budget.on_call(start);
+    }
+    CHECK(budget.try_spend(start));
+    CHECK_FALSE(budget.try_spend(start));
+}
+
+// Hedges must leave a part of the budget for the retries of failed requests.
+TEST(retry_budget, a_fraction_of_the_budget_is_left)
+{
+    const auto start = core::time_point{1000s};
+    attempts::retry_budget budget{{0.0, 4.0, 10s, 10}};
+    LONGS_EQUAL(2, budget.available(start, 0.5));
+    CHECK(budget.try_spend(start, 0.5));
+    CHECK(budget.try_spend(start, 0.5));
+    CHECK_FALSE(budget.try_spend(start, 0.5));
+    CHECK(budget.try_spend(start));
+    LONGS_EQUAL(1, budget.available(start));
+}
--- a/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
+++ b/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
@@ -29,7 +29,7 @@
     /// Delay until a change of the members' ranks is considered.
     core::duration rank_delay{std::chrono::milliseconds{100}};
     /// Initial delay after a failed call; doubles up to the maximum.
-    core::duration failure_delay{std::chrono::milliseconds{100}};
+    core::duration failure_delay{std::chrono::milliseconds{250}};
     core::duration max_failure_delay{std::chrono::seconds{1}};
 };
 
--- a/libs/mesh/include/poplarport/mesh/entry.hpp
+++ b/libs/mesh/include/poplarport/mesh/entry.hpp
@@ -12,6 +12,7 @@
 
 #include "poplarport/attempts/retry_budget.hpp"
 #include "poplarport/http/server.hpp"
+#include "poplarport/measuring/class_durations.hpp"
 #include "poplarport/mesh/adapter.hpp"
 #include "poplarport/mesh/settings.hpp"
 #include "poplarport/net/event_loop.hpp"
@@ -39,6 +40,8 @@
         /// Called for each request that was refused before it became a call.
         std::function<void(std::error_code)> on_refused;
         std::function<std::size_t()> node_count; ///< returns the number of nodes that share the retry budgets
+        /// Returns the minimum expected wait of all endpoints of a service, or nothing without an endpoint.
+        std::function<std::optional<core::duration>(const std::string& service)> expected_wait;
     };
 
     /// @param[in] loop             event loop of the node
@@ -89,6 +92,7 @@
     void begin_call(const std::shared_ptr<http::server_exchange>& exchange, const call_context& context);
     void end_call(std::uint64_t number, const node::call_description& description, const node::call_result& result);
     void refuse(http::server_exchange& exchange, int status, std::error_code reason, core::request_id id);
+    [[nodiscard]] core::duration retry_after(std::optional<core::duration> expected_wait, std::uint32_t priority) const;
     [[nodiscard]] attempts::retry_budget& budget_of(const std::string& service);
 
     net::event_loop* loop;
@@ -100,6 +104,7 @@
     routes::weighted_round_robin shares{};
     std::unordered_map<std::string, core::duration> max_time_limits{}; ///< maximum time limit of a caller, by route
     std::unordered_map<std::string, std::unique_ptr<attempts::retry_budget>> budgets{};
+    measuring::class_durations latencies{}; ///< of answered calls, by route
     std::unordered_map<std::uint64_t, std::shared_ptr<node::call_driver>> calls{};
     std::uint64_t last_call_number{0};
     std::unique_ptr<http::server> server;
--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -31,6 +31,8 @@
         std::function<bool()> deregistrations_loaded;
         /// Lists peers with an expected wait below the limit, best first.
         std::function<std::vector<core::node_id>(core::duration wait_limit)> better_peers;
+        /// See node::receiver::hooks::faster_peers.
+        std::function<std::vector<core::node_id>(double slowdown, core::duration service_time)> faster_peers;
     };
 
     /// @param[in] loop             event loop of the node
--- a/libs/mesh/src/discovery_task.cpp
+++ b/libs/mesh/src/discovery_task.cpp
@@ -23,8 +23,8 @@
 // Number of first-ranked members that keep themselves registered; a starting node needs one of them.
 constexpr std::size_t registered_members = 6;
 
-constexpr std::chrono::milliseconds initial_read_backoff{100};
-constexpr std::chrono::milliseconds max_read_backoff{1000};
+constexpr std::chrono::milliseconds initial_read_backoff{250};
+constexpr std::chrono::milliseconds max_read_backoff{2000};
 
 // A write conflicts with those of an earlier process of the node or with a call whose response was lost.
 constexpr int max_write_tries = 3;
--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -1,9 +1,10 @@
 #include "poplarport/mesh/entry.hpp"
 
-#include <algorithm> // max, min
+#include <algorithm> // clamp, max, min
 #include <chrono>    // milliseconds
 #include <utility>   // move
 
+#include "poplarport/admission/retry_after.hpp"
 #include "poplarport/mesh/errors.hpp"
 #include "poplarport/node/errors.hpp"
 #include "poplarport/observability/log_record.hpp"
@@ -19,13 +20,22 @@
 constexpr int content_too_large = 413;
 constexpr int service_unavailable = 503;
 
-// Retry-After of a response from an overloaded service, or from a node without a configuration.
-constexpr std::chrono::milliseconds retry_after{100};
-
 // Retries of one request, after refusals by receivers before an upstream received it, that the retry budget does not
 // count.
 constexpr std::uint32_t free_retries = 4;
 
+// A repeatable request without a response is sent to a second endpoint after this multiple of the usual latency: the
+// first one is then probably on a slow VM, or its node has died and is not known to be dead yet.
+constexpr int hedge_latency_factor = 2;
+constexpr std::chrono::milliseconds min_hedge_delay{50};
+
+// Part of the retry budget that such second attempts may use; the rest is left for retries after failures.
+constexpr double hedge_budget_fraction = 0.5;
+
+// An attempt that starts with less than this part of the usual latency left cannot end in time.
+constexpr int min_time_left_divisor = 2;
+constexpr std::chrono::milliseconds max_min_time_left{200};
+
 // Fraction of the installation's retry budget that the nodes spend on retries that they start themselves. A retried
 // request makes its nested calls again; these are retries too, but the nodes that handle them cannot recognise them.
 constexpr double direct_retry_fraction = 0.35;
@@ -212,19 +222,32 @@
     attempts::call_request request;
     request.repeatable = route.repeatable;
     request.deadline = description.deadline;
+    const auto usual_latency = this->latencies.of(route.name);
+    if (usual_latency > core::duration::zero())
+    {
+        request.hedge_delay = std::max<core::duration>(usual_latency * hedge_latency_factor, min_hedge_delay);
+    }
     attempts::call_limits limits;
+    limits.hedge_budget_fraction = hedge_budget_fraction;
+    limits.minimum_time_left =
+        std::clamp<core::duration>(usual_latency / min_time_left_divisor, limits.minimum_time_left, max_min_time_left);
     limits.attempts = std::max(route.attempts, 1U);
     limits.free_retries = free_retries;
     limits.redirects_after_shed = false;
     node::call_driver::hooks driver_hooks;
     driver_hooks.open = this->events.open;
-    driver_hooks.retry_after = [](const node::call_description&) -> std::optional<core::duration>
+    driver_hooks.retry_after =
+        [this, priority = route.priority](const node::call_description& refused) -> std::optional<core::duration>
     {
-        return retry_after;
+        return this->retry_after(this->events.expected_wait(refused.service), priority);
     };
     driver_hooks.on_finished =
         [this, number, description, route_name = route.name, version = this->table->version()](const auto& result)
     {
+        if (result.outcome == core::outcome::answered)
+        {
+            this->latencies.add(route_name, result.latency, this->loop->now());
+        }
         log_call(description, result, route_name, version, description.deadline - this->loop->now());
         this->end_call(number, description, result);
     };
@@ -260,12 +283,17 @@
     node::local_response_reason response_reason{core::outcome::not_run, reason, status, std::nullopt};
     if (status == service_unavailable)
     {
-        response_reason.retry_after = retry_after;
+        response_reason.retry_after = this->retry_after(std::nullopt, 0);
     }
     auto response = this->platform_adapter->protocol.make_local_response(description, response_reason);
     http::respond(exchange, std::move(response.header), response.body);
 }
 
+core::duration entry::retry_after(std::optional<core::duration> expected_wait, std::uint32_t priority) const
+{
+    return admission::retry_after(expected_wait, priority, *this->random);
+}
+
 attempts::retry_budget& entry::budget_of(const std::string& service)
 {
     auto& budget = this->budgets[service];
@@ -277,8 +305,7 @@
     }
     const auto nodes = static_cast<double>(std::max<std::size_t>(this->events.node_count(), 1));
     const auto reserve = static_cast<double>(this->settings->retry.reserve);
-    budget->set_limits(this->settings->retry.ratio * direct_retry_fraction,
-                       static_cast<std::uint64_t>(reserve * direct_retry_fraction / nodes));
+    budget->set_limits(this->settings->retry.ratio * direct_retry_fraction, reserve * direct_retry_fraction / nodes);
     return *budget;
 }
 
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -114,6 +114,10 @@
     {
         return this->router_of(this->settings.service).better_peers(wait_limit);
     };
+    hooks.faster_peers = [this](double slowdown, core::duration service_time)
+    {
+        return this->router_of(this->settings.service).faster_peers(slowdown, service_time);
+    };
     this->upstream =
         std::make_unique<upstream_task>(*this->loop, this->settings, this->platform_adapter, std::move(hooks));
     this->router_of(this->settings.service).set_local(&this->upstream->receiver());
@@ -214,6 +218,10 @@
     {
         return this->members.size();
     };
+    hooks.expected_wait = [this](const std::string& service)
+    {
+        return this->router_of(service).min_expected_wait();
+    };
     this->callers =
         std::make_unique<entry>(*this->loop, this->settings, this->platform_adapter, this->random, std::move(hooks));
 }
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -65,6 +65,7 @@
 {
     node::receiver::hooks receiver_hooks;
     receiver_hooks.better_peers = this->events.better_peers;
+    receiver_hooks.faster_peers = this->events.faster_peers;
     receiver_hooks.on_load = [this](const node::upstream_load& load)
     {
         this->handle_load(load);
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -120,6 +120,29 @@
     CHECK(status == 500 || status == 502);
 }
 
+// Pattern: an upstream stops responding while its connections stay open. A repeatable request must not wait for its
+// deadline while another upstream is free, and must not be reported as failed.
+TEST(mesh_node, a_late_repeatable_request_is_sent_to_a_second_upstream)
+{
+    mesh::small_mesh mesh{{"orders", "orders"}};
+    mesh.configure("1 /o/=orders");
+    auto& first = *mesh.members[0];
+    auto& second = *mesh.members[1];
+    CHECK_FALSE(mesh.send_heartbeat(first));
+    CHECK_FALSE(mesh.send_heartbeat(second));
+    CHECK(mesh.eventually_responds(first, "/o/1", 200));
+    CHECK(mesh.eventually_responds(second, "/o/1", 200));
+    for (int request = 0; request < 30; ++request)
+    {
+        LONGS_EQUAL(200, mesh.call(first, "/o/2"));
+    }
+    first.holds_responses = true;
+    const auto begin = mesh.loop.now();
+    LONGS_EQUAL(200, mesh.call(first, "/o/3"));
+    CHECK(mesh.loop.now() - begin < 1s);
+    mesh.run_until([&] { return first.cancelled == static_cast<int>(first.held_exchanges.size()); });
+}
+
 // A planned stop must neither refuse the requests that callers still send nor exceed its time limit.
 TEST(mesh_node, a_planned_stop_ends_within_its_limit)
 {
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -74,6 +74,9 @@
         /// Lists peers with an expected wait below a limit, best first.
         std::function<std::vector<core::node_id>(core::duration wait_limit)> better_peers;
         std::function<void()> on_slot_free; ///< a slot became free and no request is queued
+        /// Lists peers at which a request with a usual service time ends sooner than on this VM, whose work takes
+        /// `slowdown` times as long as usual; empty if requests are never passed on for that reason.
+        std::function<std::vector<core::node_id>(double slowdown, core::duration service_time)> faster_peers{};
         /// The upstream reported its load, with a response or a status check.
         std::function<void(const upstream_load&)> on_load{};
         /// Requests the upstream's load and calls the function after a short time limit at the latest, also without a
--- a/libs/node/include/poplarport/node/service_router.hpp
+++ b/libs/node/include/poplarport/node/service_router.hpp
@@ -87,12 +87,20 @@
     /// @param[in] wait_limit upper bound for the expected wait at a listed peer
     [[nodiscard]] std::vector<core::node_id> better_peers(core::duration wait_limit);
 
+    /// @brief Lists peers at which a request ends sooner than on the slowed VM of this node, best first.
+    /// @param[in] slowdown     duration of work on this VM relative to its usual duration
+    /// @param[in] service_time usual service time of the request
+    [[nodiscard]] std::vector<core::node_id> faster_peers(double slowdown, core::duration service_time);
+
     /// @return whether sending an idle hint for the local endpoint is worth its cost
     [[nodiscard]] bool is_hint_useful(const core::load_report& local_load) const;
 
     /// @return the expected wait at the best peer, including network latency
     [[nodiscard]] std::optional<core::duration> best_peer_wait() const;
 
+    /// @return the minimum expected wait of all endpoints, or nothing without an endpoint
+    [[nodiscard]] std::optional<core::duration> min_expected_wait() const;
+
     /// @brief Processes an idle hint: an endpoint has free slots.
     void on_idle_hint(const core::node_id& id, std::uint32_t free_slots);
 
@@ -117,6 +125,9 @@
     [[nodiscard]] peer::counters link_counters() const;
 
   private:
+    /// Names the first acceptable one of the best known and the best unreported peer.
+    [[nodiscard]] std::vector<core::node_id>
+    name_peer(const std::function<bool(const routing::choice&)>& is_acceptable);
     void log_selection(const routing::endpoint& target, const call_description& description,
                        const attempts::start_parameters& parameters) const;
     [[nodiscard]] std::optional<routing::endpoint> select_endpoint(const attempts::start_parameters& parameters);
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -22,6 +22,10 @@
     return limits.drain_limit * 3 / 4;
 }
 
+// Usual service time before the first request has ended. Without an assumption, the first requests would start on a
+// slow VM and stay slow.
+constexpr std::chrono::milliseconds assumed_service_time{100};
+
 // Maximum interval between checks of the queue, so that a request whose deadline cannot be met is refused early.
 constexpr std::chrono::milliseconds expiry_interval{10};
 
@@ -186,12 +190,13 @@
 
 std::vector<core::node_id> receiver::faster_peers() const
 {
-    const auto usual_time = this->usual_service_times.max_average(this->loop->now());
-    if (this->slowdown_percent < detail::slow_vm_threshold_percent || !usual_time)
+    constexpr double normal_percent = 100.0;
+    if (this->slowdown_percent < detail::slow_vm_threshold_percent || !this->events.faster_peers)
     {
         return {};
     }
-    return this->events.better_peers(*usual_time * (this->slowdown_percent - 100) / 100);
+    const auto usual_time = this->usual_service_times.max_average(this->loop->now()).value_or(assumed_service_time);
+    return this->events.faster_peers(this->slowdown_percent / normal_percent, usual_time);
 }
 
 void receiver::apply(const receiver_limits& limits)
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -38,7 +38,8 @@
 
 routing::endpoint to_endpoint(const membership::member& member)
 {
-    return {member.id, member.availability_zone, member.peer_address, member.incarnation, member.draining};
+    return {member.id,          member.availability_zone, member.peer_address,
+            member.incarnation, member.draining,          member.state == membership::member_state::suspect};
 }
 
 /// Reports the cancellation of an attempt to the router.
@@ -419,11 +420,38 @@
 }
 
 std::vector<core::node_id> service_router::better_peers(core::duration wait_limit)
+{
+    return this->name_peer([wait_limit](const routing::choice& peer) { return peer.expected_wait < wait_limit; });
+}
+
+std::vector<core::node_id> service_router::faster_peers(double slowdown, core::duration service_time)
+{
+    constexpr double normal_percent = 100.0;
+    this->router->on_slowdown_notice(this->identity->id, static_cast<std::uint32_t>(slowdown * normal_percent),
+                                     this->loop->now());
+    const auto extra_time = [service_time](double factor)
+    {
+        return std::chrono::duration_cast<core::duration>(service_time * (factor - 1.0));
+    };
+    // Both VMs are compared with the service time of the same request; the router's estimates may be those of others.
+    return this->name_peer(
+        [&](const routing::choice& peer)
+        {
+            const auto wait = peer.expected_wait - peer.slowdown_extra;
+            return wait + extra_time(peer.slowdown) < extra_time(slowdown);
+        });
+}
+
+std::vector<core::node_id> service_router::name_peer(const std::function<bool(const routing::choice&)>& is_acceptable)
 {
     const std::vector<core::node_id> self{this->identity->id};
     const auto now = this->loop->now();
-    const auto best = this->router->best_peer({self}, now);
-    if (!best || best->expected_wait >= wait_limit)
+    auto best = this->router->best_peer({self}, now);
+    if (!best || !is_acceptable(*best))
+    {
+        best = this->router->best_unreported_peer({self}, now, *this->random);
+    }
+    if (!best || !is_acceptable(*best))
     {
         return {};
     }
@@ -445,6 +473,11 @@
     return best ? std::optional{best->expected_wait} : std::nullopt;
 }
 
+std::optional<core::duration> service_router::min_expected_wait() const
+{
+    return this->router->min_expected_wait(this->loop->now());
+}
+
 void service_router::on_idle_hint(const core::node_id& id, std::uint32_t free_slots)
 {
     this->router->on_idle_hint(id, free_slots, this->loop->now());
--- /dev/null
+++ b/libs/node/tests/unit-receiver.cpp
@@ -0,0 +1,119 @@
+#include <chrono>   // milliseconds, seconds
+#include <memory>   // make_unique, unique_ptr
+#include <optional> // optional
+#include <variant>  // get_if
+#include <vector>   // vector
+
+#include "poplarport/http/server.hpp"
+#include "poplarport/net/timer.hpp"
+#include "poplarport/node/errors.hpp"
+#include "poplarport/node/receiver.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// A receiver with a peer that can serve a request within a given time.
+struct receiver_with_peer
+{
+    net::event_loop loop{};
+    node::call_protocol protocol{node::default_call_protocol()};
+    core::duration peer_wait{1ms};
+    int executed{0};
+    std::unique_ptr<http::server> upstream{};
+    std::unique_ptr<node::receiver> tested{};
+
+    receiver_with_peer()
+    {
+        this->upstream = std::make_unique<http::server>(http::server::builder{}
+                                                            .listen_on({"127.0.0.1", 0})
+                                                            .on_request(
+                                                                [this](const auto& exchange)
+                                                                {
+                                                                    ++this->executed;
+                                                                    http::respond(*exchange, {.status = 200}, "done");
+                                                                })
+                                                            .build(this->loop));
+        node::receiver_limits limits;
+        limits.slots = 4;
+        limits.queue_length = 4;
+        limits.connection_limit = 8;
+        limits.bounds_starts = true;
+        node::receiver::hooks hooks{.better_peers = [](core::duration) { return std::vector<core::node_id>{}; },
+                                    .on_slot_free = {},
+                                    .faster_peers =
+                                        [this](double slowdown, core::duration service_time)
+                                    {
+                                        const bool is_faster = this->peer_wait < service_time * (slowdown - 1.0);
+                                        return is_faster ? std::vector<core::node_id>{"n2"}
+                                                         : std::vector<core::node_id>{};
+                                    }};
+        this->tested = std::make_unique<node::receiver>(this->loop, this->upstream->address(), this->protocol, limits,
+                                                        std::move(hooks));
+    }
+
+    // Offers a request; returns its refusal, or nothing if the upstream executed it.
+    std::optional<node::attempt_failure> offer()
+    {
+        std::optional<node::attempt_failure> failure;
+        bool ended = false;
+        node::received_call call;
+        call.id = "r1";
+        call.tenant = "-";
+        call.traffic_class = "1:quote";
+        call.deadline = this->loop.now() + 5s;
+        http::request_header header{.method = "GET", .target = "/o/1"};
+        header.fields.add("Host", "orders");
+        const auto channel =
+            this->tested->start(std::move(header), std::move(call),
+                                {.on_interim = {},
+                                 .on_response_header = [](http::response_header&, const node::response_context&) {},
+                                 .on_body = {},
+                                 .on_end = [&](const node::response_context&) { ended = true; },
+                                 .on_writable = {},
+                                 .on_failed =
+                                     [&](const node::attempt_failure& value)
+                                 {
+                                     failure = value;
+                                     ended = true;
+                                 }});
+        channel->finish_request();
+        net::timer limit{this->loop, [&]
+                         {
+                             ended = true;
+                             FAIL("the request did not end");
+                         }};
+        limit.schedule(5s);
+        while (!ended)
+        {
+            this->loop.run_once();
+        }
+        return failure;
+    }
+};
+
+} // namespace
+
+TEST_GROUP(receiver){};
+
+// Pattern: all nodes have just started, and a quarter of the VMs are slow. A request that starts on a slow VM stays
+// slow to its end, so it must go to a faster peer although no service time has been measured yet.
+TEST(receiver, the_first_request_is_not_started_on_a_slow_vm)
+{
+    receiver_with_peer system;
+    system.tested->on_upstream_load({.slowdown_percent = 700});
+    const auto refusal = system.offer();
+    CHECK(refusal.has_value());
+    CHECK(refusal->reason == node::errc::upstream_slowed);
+    const auto* const event = std::get_if<attempts::refused>(&refusal->event);
+    CHECK(event != nullptr && event->better_peers == std::vector<core::node_id>{"n2"});
+    LONGS_EQUAL(0, system.executed);
+    // Without a faster peer, the request is served here.
+    system.peer_wait = 10s;
+    CHECK_FALSE(system.offer().has_value());
+    LONGS_EQUAL(1, system.executed);
+}
--- a/libs/routing/include/poplarport/routing/choice.hpp
+++ b/libs/routing/include/poplarport/routing/choice.hpp
@@ -30,7 +30,11 @@
 {
     std::shared_ptr<const endpoint> target; ///< remains valid when the router's endpoints change
     pick_reason reason{pick_reason::score};
-    core::duration expected_wait{0}; ///< estimated wait for a slot, including the network latency to another zone
+    /// Estimated wait for a slot, including the network latency to another zone and the extra service time on a slowed
+    /// VM.
+    core::duration expected_wait{0};
+    double slowdown{1.0};             ///< expected duration of work on the VM relative to its usual duration
+    core::duration slowdown_extra{0}; ///< part of `expected_wait`: the extra service time on a slowed VM
 };
 
 } // namespace poplarport::routing
--- a/libs/routing/include/poplarport/routing/detail/endpoint_state.hpp
+++ b/libs/routing/include/poplarport/routing/detail/endpoint_state.hpp
@@ -19,6 +19,7 @@
     core::time_point added_at;              ///< start of the cold-start ramp
     bool is_cold{false};                    ///< joined after the router's first list, or has restarted
     bool is_draining{false};                ///< announced or reported; not reset within an incarnation
+    bool is_suspect{false};                 ///< see endpoint::suspect
     core::load_report report;               ///< newest report; its slots are zero if none has arrived
     core::time_point reported_at;           ///< when the report arrived
     core::time_point slowdown_reported_at;  ///< when the report's `slowdown_percent` was last received
--- a/libs/routing/include/poplarport/routing/endpoint.hpp
+++ b/libs/routing/include/poplarport/routing/endpoint.hpp
@@ -16,6 +16,7 @@
     core::socket_address address;     ///< peer listener of the node
     core::incarnation incarnation{0}; ///< incarnation of the node; a later one starts cold
     bool draining{false};             ///< accepts no new requests
+    bool suspect{false};              ///< the node did not respond to a probe; used only if nothing else is left
 
     bool operator==(const endpoint&) const = default;
 };
--- a/libs/routing/include/poplarport/routing/router.hpp
+++ b/libs/routing/include/poplarport/routing/router.hpp
@@ -96,6 +96,19 @@
     /// @return the endpoint, or nothing if no unflagged endpoint with a report remains
     [[nodiscard]] std::optional<choice> best_peer(const pick_request& request, core::time_point now) const;
 
+    /// @brief Finds the best of the endpoints that have sent no report, whose load is assumed to be the mean.
+    ///
+    /// Their speed may be known from slowdown notices. A caller of hundreds of endpoints has reports of few of them.
+    /// @param[in]     request       endpoints to exclude
+    /// @param[in]     now           current time
+    /// @param[in,out] random_engine selects one of several equal endpoints, so that not all callers use the same one
+    /// @return the endpoint, or nothing if every endpoint has sent a report or is avoided
+    [[nodiscard]] std::optional<choice> best_unreported_peer(const pick_request& request, core::time_point now,
+                                                             std::mt19937_64& random_engine) const;
+
+    /// @return the minimum expected wait of all endpoints that are not draining, or nothing if there is none
+    [[nodiscard]] std::optional<core::duration> min_expected_wait(core::time_point now) const;
+
     /// @brief Returns whether sending an idle hint for the local endpoint is worth its cost.
     ///
     /// A hint helps only if the remaining endpoints are busier; how busy they must be follows from the two weights.
@@ -173,8 +186,12 @@
     [[nodiscard]] double load_of(const state& entry, core::time_point now) const noexcept;
     [[nodiscard]] double score_of(const state& entry, core::time_point now) const noexcept;
     [[nodiscard]] double slowdown_of(const state& entry, core::time_point now) const noexcept;
+    [[nodiscard]] double slowdown_extra_of(const state& entry, core::time_point now) const noexcept;
     [[nodiscard]] double network_latency_of(const state& entry) const noexcept;
     [[nodiscard]] core::duration expected_wait_of(const state& entry, core::time_point now) const noexcept;
+    template <typename predicate>
+    [[nodiscard]] std::optional<choice> best_of(const pick_request& request, core::time_point now, std::size_t first,
+                                                predicate is_eligible) const;
     [[nodiscard]] bool collect_candidates(const pick_request& request, core::time_point now, bool include_flagged,
                                           bool include_failed);
     [[nodiscard]] state& best_candidate(core::time_point now, std::mt19937_64& random_engine);
@@ -182,6 +199,7 @@
     void store_report(state& entry, const core::load_report& report, core::time_point now);
     void lower_confidence(state& entry, core::time_point now) noexcept;
     void update_means() noexcept;
+    void update_typical_slowdown(core::time_point now);
     void update_flag(state& entry, core::time_point now);
     void end_straggler_probe(state& entry, core::duration latency, core::time_point now);
     [[nodiscard]] double straggler_factor() const noexcept;
@@ -194,6 +212,7 @@
     double tail_latency_preference; // fraction of the weight on low tail latency
     double mean_load{0.0};          // load per slot from other senders, mean of the newest reports
     double mean_service_time{0.0};  // in nanoseconds, mean of the newest reports
+    double typical_slowdown{1.0};   // median of the newest reports and notices, as a factor
     bool has_endpoint_list{false};
     std::vector<state> states; // sorted by id
     std::vector<state*> candidates;
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -85,6 +85,7 @@
             continue;
         }
         existing->is_draining = existing->is_draining || target->draining;
+        existing->is_suspect = target->suspect;
         existing->target = target;
         next.push_back(*existing);
     }
@@ -102,6 +103,7 @@
     if (is_known && position->target->incarnation == target->incarnation)
     {
         position->is_draining = position->is_draining || target->draining;
+        position->is_suspect = target->suspect;
         position->target = target;
         return;
     }
@@ -146,17 +148,18 @@
     return choice{best.target, is_last_resort ? pick_reason::last_resort : reason, this->expected_wait_of(best, now)};
 }
 
-std::optional<choice> router::best_peer(const pick_request& request, core::time_point now) const
+template <typename predicate>
+std::optional<choice> router::best_of(const pick_request& request, core::time_point now, std::size_t first,
+                                      predicate is_eligible) const
 {
     const state* best = nullptr;
     double best_score = 0.0;
-    for (const state& entry : this->states)
+    for (std::size_t offset = 0; offset < this->states.size(); ++offset)
     {
-        const bool has_usable_report =
-            entry.report.slots > 0 && entry.report_confidence >= min_confidence && !entry.is_draining;
-        const bool is_avoided =
-            now < entry.flagged_until || now < entry.failed_until || was_tried(request, *entry.target);
-        if (!has_usable_report || is_avoided)
+        const state& entry = this->states[(first + offset) % this->states.size()];
+        const bool is_avoided = entry.is_draining || entry.is_suspect || now < entry.flagged_until ||
+                                now < entry.failed_until || was_tried(request, *entry.target);
+        if (is_avoided || !is_eligible(entry))
         {
             continue;
         }
@@ -171,7 +174,41 @@
     {
         return std::nullopt;
     }
-    return choice{best->target, pick_reason::score, this->expected_wait_of(*best, now)};
+    const auto slowdown_extra = core::duration{static_cast<core::duration::rep>(this->slowdown_extra_of(*best, now))};
+    return choice{best->target, pick_reason::score, this->expected_wait_of(*best, now), this->slowdown_of(*best, now),
+                  slowdown_extra};
+}
+
+std::optional<choice> router::best_peer(const pick_request& request, core::time_point now) const
+{
+    return this->best_of(request, now, 0,
+                         [](const state& entry)
+                         { return entry.report.slots > 0 && entry.report_confidence >= min_confidence; });
+}
+
+std::optional<choice> router::best_unreported_peer(const pick_request& request, core::time_point now,
+                                                   std::mt19937_64& random_engine) const
+{
+    if (this->states.empty())
+    {
+        return std::nullopt;
+    }
+    const auto first = std::uniform_int_distribution<std::size_t>{0, this->states.size() - 1}(random_engine);
+    return this->best_of(request, now, first, [](const state& entry) { return entry.report.slots == 0; });
+}
+
+std::optional<core::duration> router::min_expected_wait(core::time_point now) const
+{
+    std::optional<core::duration> result;
+    for (const state& entry : this->states)
+    {
+        if (!entry.is_draining && !entry.is_suspect && now >= entry.failed_until)
+        {
+            const auto wait = this->expected_wait_of(entry, now);
+            result = result ? std::min(*result, wait) : wait;
+        }
+    }
+    return result;
 }
 
 bool router::is_hint_useful(const core::load_report& local_report, core::time_point now) const noexcept
@@ -329,6 +366,7 @@
     {
         found->report.slowdown_percent = slowdown_percent;
         found->slowdown_reported_at = now;
+        this->update_typical_slowdown(now);
     }
 }
 
@@ -390,11 +428,13 @@
 {
     const bool is_local_zone = target->availability_zone == this->settings.availability_zone;
     const bool is_draining = target->draining;
+    const bool is_suspect = target->suspect;
     state entry{.target = std::move(target),
                 .network_latency = is_local_zone ? core::duration::zero() : this->settings.zone_cost,
                 .added_at = now,
                 .is_cold = this->has_endpoint_list,
                 .is_draining = is_draining,
+                .is_suspect = is_suspect,
                 .report = {},
                 .reported_at = {},
                 .slowdown_reported_at = {},
@@ -414,8 +454,8 @@
     this->candidates.clear();
     for (state& entry : this->states)
     {
-        const bool is_avoided =
-            (!include_flagged && now < entry.flagged_until) || (!include_failed && now < entry.failed_until);
+        const bool has_failed = entry.is_suspect || now < entry.failed_until;
+        const bool is_avoided = (!include_flagged && now < entry.flagged_until) || (!include_failed && has_failed);
         if (!entry.is_draining && !is_avoided && !was_tried(request, *entry.target))
         {
             this->candidates.push_back(&entry);
@@ -465,7 +505,8 @@
 {
     for (state& entry : this->states)
     {
-        const bool is_idle = !entry.is_draining && now >= entry.failed_until && entry.in_flight() == 0;
+        const bool is_idle =
+            !entry.is_draining && !entry.is_suspect && now >= entry.failed_until && entry.in_flight() == 0;
         if (is_idle && now < entry.flagged_until && now >= entry.next_straggler_probe)
         {
             return &entry;
--- a/libs/routing/src/router_score.cpp
+++ b/libs/routing/src/router_score.cpp
@@ -1,7 +1,8 @@
 #include "poplarport/routing/router.hpp"
 
-#include <algorithm> // clamp, max, min
+#include <algorithm> // clamp, max, min, ranges::nth_element
 #include <cmath>     // exp
+#include <cstddef>   // ptrdiff_t
 
 #include "durations.hpp"
 
@@ -28,6 +29,11 @@
 // Validity of a reported slowdown. The end of a slowdown is notified immediately; the limit covers a lost notice.
 constexpr std::chrono::milliseconds slowdown_lifetime{1500};
 
+// Age up to which a reported slowdown counts for the typical one.
+constexpr std::chrono::seconds typical_slowdown_window{3};
+
+constexpr double normal_percent = 100.0;
+
 } // namespace
 
 double router::slots_of(const state& entry, core::time_point now) const noexcept
@@ -76,25 +82,31 @@
 double router::score_of(const state& entry, core::time_point now) const noexcept
 {
     const double utilisation = (this->load_of(entry, now) + 1.0) / this->slots_of(entry, now);
-    return utilisation * this->service_time_of(entry) + this->slowdown_of(entry, now) + this->network_latency_of(entry);
+    return utilisation * this->service_time_of(entry) + this->slowdown_extra_of(entry, now) +
+           this->network_latency_of(entry);
 }
 
 core::duration router::expected_wait_of(const state& entry, core::time_point now) const noexcept
 {
     const double slots = this->slots_of(entry, now);
     const double excess = std::max(0.0, this->load_of(entry, now) + 1.0 - slots);
-    const double wait = excess / slots * this->service_time_of(entry) + this->slowdown_of(entry, now) +
+    const double wait = excess / slots * this->service_time_of(entry) + this->slowdown_extra_of(entry, now) +
                         in_nanoseconds(entry.network_latency);
     return core::duration{static_cast<core::duration::rep>(wait)};
 }
 
-// Returns the extra service time, in nanoseconds, of a request that starts on a slowed VM.
+// Without a recent report the typical slowdown is assumed: after a restart of all upstreams, every one of them is slow
+// for some seconds.
 double router::slowdown_of(const state& entry, core::time_point now) const noexcept
 {
-    constexpr double normal_percent = 100.0;
-    const double excess = static_cast<double>(entry.report.slowdown_percent) / normal_percent - 1.0;
     const bool is_recent = now - entry.slowdown_reported_at < slowdown_lifetime;
-    return is_recent ? std::max(excess, 0.0) * this->service_time_of(entry) : 0.0;
+    return is_recent ? static_cast<double>(entry.report.slowdown_percent) / normal_percent : this->typical_slowdown;
+}
+
+// Returns the extra service time, in nanoseconds, of a request that starts on a slowed VM.
+double router::slowdown_extra_of(const state& entry, core::time_point now) const noexcept
+{
+    return std::max(this->slowdown_of(entry, now) - 1.0, 0.0) * this->service_time_of(entry);
 }
 
 double router::network_latency_of(const state& entry) const noexcept
@@ -112,6 +124,7 @@
     entry.local_calls_at_report = entry.in_flight();
     entry.is_draining = entry.is_draining || report.draining;
     this->update_means();
+    this->update_typical_slowdown(now);
 }
 
 // A refusal by an endpoint that appeared to have free slots shows that its reports are delayed or wrong. The square
@@ -123,6 +136,29 @@
     entry.report_confidence *= 1.0 - prediction_error * prediction_error;
 }
 
+// The median, because a quarter of the VMs may be slowed by their neighbours at any time.
+void router::update_typical_slowdown(core::time_point now)
+{
+    this->scratch.clear();
+    for (const state& entry : this->states)
+    {
+        if (entry.slowdown_reported_at != core::time_point{} &&
+            now - entry.slowdown_reported_at < typical_slowdown_window)
+        {
+            this->scratch.push_back(static_cast<double>(entry.report.slowdown_percent) / normal_percent);
+        }
+    }
+    if (this->scratch.empty())
+    {
+        this->typical_slowdown = 1.0;
+        return;
+    }
+    // The lower one of two middle values.
+    const auto middle = this->scratch.begin() + static_cast<std::ptrdiff_t>((this->scratch.size() - 1) / 2);
+    std::ranges::nth_element(this->scratch, middle);
+    this->typical_slowdown = *middle;
+}
+
 void router::update_means() noexcept
 {
     double load = 0.0;
