Let a reload after the first start ask for no restart; bring the measurements up to date

Cause: the platform changes the setting of the first start once the installation runs, and each reload then logged needs_restart. The new test failed without the change.

--- a/libs/mesh/src/discovery_task.cpp
+++ b/libs/mesh/src/discovery_task.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm> // max, min, ranges::count_if
 #include <chrono>    // milliseconds, seconds
-#include <utility>   // exchange, move
+#include <utility>   // move
 
 #include <nlohmann/json.hpp>
 
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -509,6 +509,8 @@
 bool mesh_node::apply(const mesh_settings& settings)
 {
     auto& current = this->data->settings;
+    // Only the start of the process depends on it.
+    current.is_first_start = settings.is_first_start;
     current.retry = settings.retry;
     current.stop_limit = settings.stop_limit;
     if (current.log_level != settings.log_level)
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -143,6 +143,23 @@
     mesh.run_until([&] { return first.cancelled == static_cast<int>(first.held_exchanges.size()); });
 }
 
+// After the first start of an installation, its settings no longer say so. A reload must not ask for a restart then,
+// but must for a setting that takes effect only at a start.
+TEST(mesh_node, the_end_of_the_first_start_needs_no_restart)
+{
+    mesh::small_mesh mesh{{"orders"}};
+    auto& only = *mesh.members[0];
+    mesh.kill(only);
+    only.settings.is_first_start = true;
+    mesh.start(only);
+    auto changed = only.settings;
+    changed.is_first_start = false;
+    changed.retry.reserve = 7;
+    CHECK(only.node->apply(changed));
+    changed.service = "stock";
+    CHECK_FALSE(only.node->apply(changed));
+}
+
 // A planned stop must neither refuse the requests that callers still send nor exceed its time limit.
 TEST(mesh_node, a_planned_stop_ends_within_its_limit)
 {
