Let members that lose each other not register themselves

Cause: a node without a peer registers itself when the listed nodes do not respond, also one that its peers know. If hundreds of nodes lose each other but reach the store, all of them register, and each later list grows with them.

Change: only a node that has never had a peer registers for that reason; one whose list is empty still does.

Measured: members_that_lose_each_other_do_not_all_register, 295 nodes, failed before and passes now, 35 of 35 tests of unit_membership.

--- a/libs/membership/include/poplarport/membership/join_schedule.hpp
+++ b/libs/membership/include/poplarport/membership/join_schedule.hpp
@@ -104,6 +104,7 @@
     std::size_t peers{0};
     int unanswered_lists{0}; ///< lists read since the last live peer, whose nodes did not respond
     bool list_was_empty{false};
+    bool has_joined{false}; ///< there has been a live peer since the start
     bool registered{false};
     join_step in_progress{join_step::none};
 };
--- a/libs/membership/src/join_schedule.cpp
+++ b/libs/membership/src/join_schedule.cpp
@@ -52,7 +52,9 @@
 
 bool join_schedule::must_register(core::time_point now) const noexcept
 {
-    const bool no_peer_found = this->list_was_empty || this->unanswered_lists >= max_unanswered_lists;
+    // A node that has had peers is known to them, so it needs no object to be found again.
+    const bool nobody_responds = !this->has_joined && this->unanswered_lists >= max_unanswered_lists;
+    const bool no_peer_found = this->list_was_empty || nobody_responds;
     return !this->registered && no_peer_found && now >= this->registration_due;
 }
 
@@ -106,6 +108,7 @@
     {
         return;
     }
+    this->has_joined = true;
     this->unanswered_lists = 0;
     this->list_was_empty = false;
     this->list_interval = this->settings.list_interval;
--- a/libs/membership/tests/unit-join_schedule.cpp
+++ b/libs/membership/tests/unit-join_schedule.cpp
@@ -193,6 +193,38 @@
     CHECK(alone.tick(true, start + 10s, random) == membership::join_step::list);
 }
 
+// Pattern: hundreds of members lose each other but reach the store. If each of them registered itself, the list and the
+// cost of each later start would grow with the number of nodes; the members know each other's addresses.
+TEST(join_schedule, members_that_lose_each_other_do_not_all_register)
+{
+    std::mt19937_64 random{1};
+    const core::time_point start{100s};
+    int registrations = 0;
+    for (int node = 0; node < 295; ++node)
+    {
+        membership::join_schedule schedule{{}, start, random};
+        CHECK(schedule.tick(false, start, random) == membership::join_step::list);
+        schedule.on_listed(6, start, random);
+        schedule.set_peers(294, start, random);
+        auto now = start + 10s;
+        schedule.set_peers(0, now, random);
+        int lists = 0;
+        for (; now < start + 40s; now += 10ms)
+        {
+            const auto step = schedule.tick(false, now, random);
+            registrations += step == membership::join_step::register_self ? 1 : 0;
+            if (step == membership::join_step::list)
+            {
+                ++lists;
+                schedule.on_listed(6, now, random);
+            }
+        }
+        // It goes on reading the list, to find the others again.
+        CHECK(lists >= 5);
+    }
+    LONGS_EQUAL(0, registrations);
+}
+
 // Pattern: the store is away for some seconds. Each call is charged for, and nodes must be back within two seconds of
 // its return.
 TEST(join_schedule, calls_to_a_store_that_is_away_are_limited)
