Use one copy of the jitter functions

Cause: watch_schedule had brought a third copy of functions that membership and the configuration follower already had; configuration must not depend on membership.

Change: the header moves to core, and both copies are gone.

--- a/libs/configuration/src/follower.cpp
+++ b/libs/configuration/src/follower.cpp
@@ -5,19 +5,10 @@
 
 #include <xxhash.h> // XXH64
 
-namespace poplarport::configuration
-{
-
-namespace
-{
+#include "poplarport/core/jitter.hpp"
 
-// Returns a duration from zero to `bound`.
-core::duration random_duration(core::duration bound, std::mt19937_64& random_engine)
+namespace poplarport::configuration
 {
-    return core::duration{std::uniform_int_distribution<core::duration::rep>{0, bound.count()}(random_engine)};
-}
-
-} // namespace
 
 bool must_watch(std::string_view service, const core::node_id& self, const std::vector<peer_version>& members,
                 std::size_t watchers)
@@ -52,9 +43,9 @@
         return;
     }
     service_state& state = position->second;
-    state.pull.next_start = now + random_duration(this->active_settings.jitter, random_engine);
+    state.pull.next_start = now + core::random_duration(this->active_settings.jitter, random_engine);
     state.startup_deadline =
-        now + this->active_settings.start_wait + random_duration(this->active_settings.jitter, random_engine);
+        now + this->active_settings.start_wait + core::random_duration(this->active_settings.jitter, random_engine);
 }
 
 std::vector<follower_action> follower::unfollow(const std::string& service)
@@ -372,7 +363,7 @@
     const auto shift = std::min(request.failures, max_shift);
     const auto max_delay = std::min(this->active_settings.backoff * (std::int64_t{1} << shift), limit);
     ++request.failures;
-    request.next_start = now + max_delay / 2 + random_duration(max_delay / 2, random_engine);
+    request.next_start = now + max_delay / 2 + core::random_duration(max_delay / 2, random_engine);
 }
 
 core::duration follower::platform_backoff_limit(const std::string& service, const service_state& state) const
@@ -393,7 +384,7 @@
         return;
     }
     state.current_phase = phase::querying_platform;
-    state.platform.next_start = now + random_duration(this->active_settings.jitter, random_engine);
+    state.platform.next_start = now + core::random_duration(this->active_settings.jitter, random_engine);
 }
 
 void follower::delay_pull(service_state& state, bool was_behind, core::time_point now,
@@ -403,7 +394,7 @@
     if (!was_behind && this->is_behind(state))
     {
         state.pull.next_start =
-            std::max(state.pull.next_start, now + random_duration(this->active_settings.jitter, random_engine));
+            std::max(state.pull.next_start, now + core::random_duration(this->active_settings.jitter, random_engine));
     }
 }
 
--- a/libs/configuration/src/watch_schedule.cpp
+++ b/libs/configuration/src/watch_schedule.cpp
@@ -3,30 +3,16 @@
 #include <algorithm> // min
 #include <utility>   // exchange
 
-namespace poplarport::configuration
-{
-
-namespace
-{
-
-// Returns a duration from zero to `bound`.
-core::duration random_duration(core::duration bound, std::mt19937_64& random)
-{
-    return core::duration{std::uniform_int_distribution<core::duration::rep>{0, bound.count()}(random)};
-}
+#include "poplarport/core/jitter.hpp"
 
-// Returns a duration from 3/4 to 5/4 of `interval`.
-core::duration jittered(core::duration interval, std::mt19937_64& random)
+namespace poplarport::configuration
 {
-    return interval * 3 / 4 + random_duration(interval / 2, random);
-}
-
-} // namespace
 
 watch_schedule::watch_schedule(const watch_settings& watch_settings, core::time_point now, std::mt19937_64& random)
     : settings(watch_settings), settled_at(now + (watch_settings.is_first_start ? watch_settings.max_first_settle_time
                                                                                 : watch_settings.max_settle_time)),
-      next_step(watch_settings.is_first_start ? now + random_duration(watch_settings.first_read_spread, random) : now),
+      next_step(watch_settings.is_first_start ? now + core::random_duration(watch_settings.first_read_spread, random)
+                                              : now),
       poll_interval(watch_settings.poll_interval), failure_delay(watch_settings.failure_delay)
 {
 }
@@ -72,7 +58,7 @@
         this->next_step = now;
         return;
     }
-    this->next_step = now + jittered(this->poll_interval, random);
+    this->next_step = now + core::jittered_interval(this->poll_interval, random);
     if (!this->is_settled(now))
     {
         this->next_step = std::min(this->next_step, this->settled_at);
@@ -97,7 +83,7 @@
 void watch_schedule::on_failed(core::time_point now, std::mt19937_64& random)
 {
     this->in_progress = watch_step::none;
-    this->next_step = now + jittered(this->failure_delay, random);
+    this->next_step = now + core::jittered_interval(this->failure_delay, random);
     this->failure_delay = std::min(this->failure_delay * 2, this->settings.max_failure_delay);
 }
 
--- a/libs/membership/include/poplarport/membership/jitter.hpp
+++ b/libs/core/include/poplarport/core/jitter.hpp
@@ -5,17 +5,17 @@
 
 #include "poplarport/core/time.hpp"
 
-namespace poplarport::membership
+namespace poplarport::core
 {
 
 /// @return a uniformly distributed duration from zero to the bound
-[[nodiscard]] inline core::duration random_duration(core::duration bound, std::mt19937_64& random)
+[[nodiscard]] inline duration random_duration(duration bound, std::mt19937_64& random)
 {
-    return core::duration{std::uniform_int_distribution<core::duration::rep>{0, bound.count()}(random)};
+    return duration{std::uniform_int_distribution<duration::rep>{0, bound.count()}(random)};
 }
 
 /// @return a uniformly distributed duration from 3/4 to 5/4 of the interval
-[[nodiscard]] inline core::duration jittered_interval(core::duration interval, std::mt19937_64& random)
+[[nodiscard]] inline duration jittered_interval(duration interval, std::mt19937_64& random)
 {
     return interval * 3 / 4 + random_duration(interval / 2, random);
 }
@@ -26,4 +26,4 @@
     return std::uniform_int_distribution<std::size_t>{0, count - 1}(random);
 }
 
-} // namespace poplarport::membership
+} // namespace poplarport::core
--- a/libs/membership/src/detector.cpp
+++ b/libs/membership/src/detector.cpp
@@ -6,7 +6,7 @@
 #include <iterator>  // back_inserter
 #include <utility>   // move
 
-#include "poplarport/membership/jitter.hpp"
+#include "poplarport/core/jitter.hpp"
 
 namespace poplarport::membership
 {
@@ -27,8 +27,9 @@
                    std::vector<core::socket_address> seed_addresses, core::time_point now, std::mt19937_64& random)
     : service(std::move(service_name)), local_member(std::move(self)), limits(settings),
       seeds(std::move(seed_addresses)), table(settings.ended_retention), last_sequence(random()),
-      next_probe(now + random_duration(settings.start_jitter + settings.probe_interval, random)), next_gossip(now),
-      next_sync(now + random_duration(settings.start_jitter, random)), join_backoff(settings.probe_interval)
+      next_probe(now + core::random_duration(settings.start_jitter + settings.probe_interval, random)),
+      next_gossip(now), next_sync(now + core::random_duration(settings.start_jitter, random)),
+      join_backoff(settings.probe_interval)
 {
     this->pending_updates.add(this->local_member.id);
     this->expect_wakeup(now);
@@ -198,7 +199,7 @@
     ++this->counts.freezes;
     this->probe.reset();
     this->table.postpone_suspicions(delay);
-    this->next_probe = now + random_duration(this->limits.probe_interval, random);
+    this->next_probe = now + core::random_duration(this->limits.probe_interval, random);
 }
 
 void detector::expect_wakeup(core::time_point now)
@@ -338,7 +339,7 @@
         return;
     }
     this->join_backoff = this->limits.probe_interval;
-    this->next_sync = now + jittered_interval(this->limits.sync_interval, random);
+    this->next_sync = now + core::jittered_interval(this->limits.sync_interval, random);
     std::vector<core::socket_address> partners;
     for (const auto& [id, record] : this->table.records())
     {
@@ -348,7 +349,7 @@
         }
     }
     std::ranges::copy(this->seeds, std::back_inserter(partners));
-    const auto& partner = partners[index_below(partners.size(), random)];
+    const auto& partner = partners[core::index_below(partners.size(), random)];
     if (partner != this->local_member.peer_address)
     {
         output.messages.push_back({partner, sync_request{this->header(), this->local_hash()}});
@@ -357,7 +358,7 @@
 
 void detector::join(core::time_point now, std::mt19937_64& random, detector_output& output)
 {
-    this->next_sync = now + jittered_interval(this->join_backoff, random);
+    this->next_sync = now + core::jittered_interval(this->join_backoff, random);
     this->join_backoff = std::min(this->join_backoff * 2, this->limits.join_backoff_limit);
     std::vector<core::socket_address> contacts = this->seeds;
     for (const auto& [id, record] : this->table.records())
--- a/libs/membership/src/detector_messages.cpp
+++ b/libs/membership/src/detector_messages.cpp
@@ -4,8 +4,8 @@
 #include <random>    // binomial_distribution
 #include <utility>   // move
 
+#include "poplarport/core/jitter.hpp"
 #include "poplarport/membership/detector.hpp"
-#include "poplarport/membership/jitter.hpp"
 
 namespace poplarport::membership
 {
@@ -151,7 +151,7 @@
     }
     if (event->change == member_change::joined)
     {
-        const auto position = index_below(this->probe_order.size() + 1, random);
+        const auto position = core::index_below(this->probe_order.size() + 1, random);
         this->probe_order.insert(this->probe_order.begin() + static_cast<std::ptrdiff_t>(position), entry.member.id);
     }
     output.events.push_back(std::move(*event));
--- a/libs/membership/src/join_schedule.cpp
+++ b/libs/membership/src/join_schedule.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // max, min
 #include <cmath>     // log
 
-#include "poplarport/membership/jitter.hpp"
+#include "poplarport/core/jitter.hpp"
 
 namespace poplarport::membership
 {
@@ -42,7 +42,7 @@
     }
     if (this->peers > 0)
     {
-        this->next_step = now + jittered_interval(this->settings.rank_check_interval, random);
+        this->next_step = now + core::jittered_interval(this->settings.rank_check_interval, random);
         this->in_progress = has_rank && !this->registered ? join_step::register_self : join_step::none;
         return this->in_progress;
     }
@@ -96,7 +96,7 @@
 void join_schedule::on_failed(core::time_point now, std::mt19937_64& random)
 {
     this->in_progress = join_step::none;
-    this->next_step = now + jittered_interval(this->failure_delay, random);
+    this->next_step = now + core::jittered_interval(this->failure_delay, random);
     this->failure_delay = std::min(this->failure_delay * 2, this->settings.max_failure_delay);
 }
 
@@ -112,7 +112,7 @@
     this->unanswered_lists = 0;
     this->list_was_empty = false;
     this->list_interval = this->settings.list_interval;
-    this->next_step = count > 0 ? now + jittered_interval(this->settings.settle_time, random) : now;
+    this->next_step = count > 0 ? now + core::jittered_interval(this->settings.settle_time, random) : now;
 }
 
 core::time_point join_schedule::next_wakeup() const noexcept
@@ -122,7 +122,7 @@
 
 void join_schedule::list_later(core::time_point now, std::mt19937_64& random)
 {
-    this->next_step = now + jittered_interval(this->list_interval, random);
+    this->next_step = now + core::jittered_interval(this->list_interval, random);
     this->list_interval = std::min(this->list_interval * 2, this->settings.max_list_interval);
 }
 
--- a/libs/membership/src/observer.cpp
+++ b/libs/membership/src/observer.cpp
@@ -4,7 +4,7 @@
 #include <tuple>     // pair
 #include <utility>   // move
 
-#include "poplarport/membership/jitter.hpp"
+#include "poplarport/core/jitter.hpp"
 #include "poplarport/membership/rendezvous.hpp"
 
 namespace poplarport::membership
@@ -21,7 +21,8 @@
 } // namespace
 
 observer::observer(core::node_id self, const observer_settings& settings, core::time_point now, std::mt19937_64& random)
-    : local_id(std::move(self)), limits(settings), next_selection(now + random_duration(settings.start_jitter, random))
+    : local_id(std::move(self)), limits(settings),
+      next_selection(now + core::random_duration(settings.start_jitter, random))
 {
 }
 
@@ -35,7 +36,7 @@
     if (now >= this->next_selection)
     {
         this->select_sources(now, random);
-        this->next_selection = now + jittered_interval(this->limits.backoff, random);
+        this->next_selection = now + core::jittered_interval(this->limits.backoff, random);
     }
     std::vector<list_pull> pulls;
     for (auto& [address, each] : this->sources)
@@ -60,7 +61,7 @@
     source& each = found->second;
     each.in_flight = false;
     each.failures = 0;
-    each.next_pull = now + jittered_interval(this->limits.interval, random);
+    each.next_pull = now + core::jittered_interval(this->limits.interval, random);
     if (response.unchanged)
     {
         return {};
@@ -82,7 +83,7 @@
     constexpr std::size_t max_shift = 16;
     const auto shift = std::min(each.failures, max_shift);
     const auto delay = std::min(this->limits.backoff * (std::int64_t{1} << shift), this->limits.backoff_limit);
-    each.next_pull = now + jittered_interval(delay, random);
+    each.next_pull = now + core::jittered_interval(delay, random);
     ++each.failures;
 }
 
@@ -121,7 +122,7 @@
         const auto excluded = this->excluded_until.find(address);
         if (excluded == this->excluded_until.end() && !this->sources.contains(address))
         {
-            this->sources[address].next_pull = now + random_duration(this->limits.backoff, random);
+            this->sources[address].next_pull = now + core::random_duration(this->limits.backoff, random);
         }
     }
 }
--- a/libs/membership/src/seed_duty.cpp
+++ b/libs/membership/src/seed_duty.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // max, min, ranges::any_of, ranges::count_if, ranges::find
 #include <utility>   // move
 
-#include "poplarport/membership/jitter.hpp"
+#include "poplarport/core/jitter.hpp"
 #include "poplarport/membership/rendezvous.hpp"
 
 namespace poplarport::membership
@@ -30,7 +30,7 @@
 seed_duty::seed_duty(std::string service, core::node_id self, const seed_duty_settings& settings, core::time_point now,
                      std::mt19937_64& random)
     : key("seeds/" + std::move(service)), local_id(std::move(self)), limits(settings), read_interval(settings.interval),
-      next_read(now + random_duration(settings.interval, random))
+      next_read(now + core::random_duration(settings.interval, random))
 {
 }
 
@@ -47,7 +47,7 @@
     {
         return std::nullopt;
     }
-    this->next_read = now + jittered_interval(this->read_interval, random);
+    this->next_read = now + core::jittered_interval(this->read_interval, random);
     this->earliest_read = now + this->limits.early_wait;
     return this->on_duty(members) ? std::optional<seed_action>{read_seeds{}} : std::nullopt;
 }
@@ -102,14 +102,14 @@
     {
         return;
     }
-    const auto due = std::max(now + jittered_interval(this->limits.early_wait, random), this->earliest_read);
+    const auto due = std::max(now + core::jittered_interval(this->limits.early_wait, random), this->earliest_read);
     this->next_read = std::min(this->next_read, due);
 }
 
 void seed_duty::on_failed(core::time_point now, std::mt19937_64& random)
 {
     this->read_interval = std::min(this->read_interval * 2, this->limits.backoff_limit);
-    this->next_read = now + jittered_interval(this->read_interval, random);
+    this->next_read = now + core::jittered_interval(this->read_interval, random);
     this->earliest_read = this->next_read;
 }
 
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -4,7 +4,7 @@
 #include <chrono>    // milliseconds, seconds
 #include <utility>   // exchange, move
 
-#include "poplarport/membership/jitter.hpp"
+#include "poplarport/core/jitter.hpp"
 #include "poplarport/membership/rendezvous.hpp"
 #include "poplarport/mesh/errors.hpp"
 #include "poplarport/observability/log_record.hpp"
@@ -200,7 +200,7 @@
 
 void configuration_task::watch()
 {
-    const auto wait = membership::jittered_interval(watch_wait, *this->random);
+    const auto wait = core::jittered_interval(watch_wait, *this->random);
     this->platform_adapter->objects->watch(
         this->platform_adapter->configuration_kind, this->listed_at, wait,
         [this, still_alive = this->alive](const store::outcome<store::change_list>& result)
--- a/libs/mesh/src/discovery_task.cpp
+++ b/libs/mesh/src/discovery_task.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "poplarport/membership/jitter.hpp"
+#include "poplarport/core/jitter.hpp"
 #include "poplarport/membership/rendezvous.hpp"
 #include "poplarport/observability/log_record.hpp"
 
@@ -132,7 +132,7 @@
     if (!result.value && result.error != store::errc::not_found)
     {
         this->log_failure(result.error, "read own object");
-        this->read_wakeup.schedule(membership::jittered_interval(this->read_backoff, *this->random));
+        this->read_wakeup.schedule(core::jittered_interval(this->read_backoff, *this->random));
         this->read_backoff = std::min<core::duration>(this->read_backoff * 2, max_read_backoff);
         return;
     }
@@ -307,7 +307,7 @@
     }
     if (!this->removal.is_scheduled())
     {
-        this->removal.schedule(membership::jittered_interval(removal_interval, *this->random));
+        this->removal.schedule(core::jittered_interval(removal_interval, *this->random));
     }
     this->joining.set_peers(this->members.size(), this->loop->now(), *this->random);
     this->schedule();
@@ -341,7 +341,7 @@
                             }
                             if (!result.value || !this->missing_nodes.empty())
                             {
-                                this->removal.schedule(membership::jittered_interval(removal_interval, *this->random));
+                                this->removal.schedule(core::jittered_interval(removal_interval, *this->random));
                             }
                         });
 }
--- a/libs/node/src/membership_task.cpp
+++ b/libs/node/src/membership_task.cpp
@@ -5,7 +5,7 @@
 #include <iterator>  // back_inserter
 #include <utility>   // move
 
-#include "poplarport/membership/jitter.hpp"
+#include "poplarport/core/jitter.hpp"
 #include "poplarport/node/detail/overloaded.hpp"
 #include "poplarport/node/detail/seeds_codec.hpp"
 #include "poplarport/observability/log_record.hpp"
@@ -166,7 +166,7 @@
     }
     // The jitter prevents nodes of a zone that start together from sending their requests to the platform at the same
     // time.
-    this->seeds_wakeup.schedule(membership::jittered_interval(this->seeds_backoff, *this->random));
+    this->seeds_wakeup.schedule(core::jittered_interval(this->seeds_backoff, *this->random));
 }
 
 void membership_task::maintain_seeds()
--- a/libs/node/src/observer_task.cpp
+++ b/libs/node/src/observer_task.cpp
@@ -4,7 +4,7 @@
 #include <chrono>    // milliseconds, seconds
 #include <utility>   // move
 
-#include "poplarport/membership/jitter.hpp"
+#include "poplarport/core/jitter.hpp"
 #include "poplarport/node/detail/document_pull.hpp"
 #include "poplarport/node/detail/seeds_codec.hpp"
 #include "poplarport/wire/member_list.hpp"
@@ -73,7 +73,7 @@
                          });
     this->seeds_backoff = std::min<core::duration>(this->seeds_backoff * 2, max_backoff);
     const auto wait = this->members().empty() ? this->seeds_backoff : core::duration{seeds_interval};
-    this->seeds_wakeup.schedule(membership::jittered_interval(wait, *this->random));
+    this->seeds_wakeup.schedule(core::jittered_interval(wait, *this->random));
 }
 
 void observer_task::tick()
