--- a/libs/membership/tests/unit-detector.cpp
+++ b/libs/membership/tests/unit-detector.cpp
@@ -49,6 +49,30 @@
     LONGS_EQUAL(0, simulation.violations.size());
 }
 
+// Pattern: a group of hundreds. If a change of one member were reported with all members, each process would do work of
+// the square of the group's size while the group starts.
+TEST(detector, a_change_in_a_large_group_is_one_event)
+{
+    constexpr int size = 300;
+    auto tested = this->build(entry("self", 1, "10.0.0.1"));
+    const auto sender = entry("m0", 1, "10.0.0.2");
+    std::size_t joins = 0;
+    for (int index = 0; index < size; ++index)
+    {
+        const member_updates updates{
+            {"orders", sender}, false, {{entry(("m" + std::to_string(index)).c_str(), 1, "10.0.0.2"), {}}}};
+        joins += this->receive(tested, message{updates}).events.size();
+    }
+    LONGS_EQUAL(size, joins);
+    auto changed = entry("m7", 1, "10.0.0.2");
+    changed.revision = 1;
+    changed.accepting = false;
+    const auto output = this->receive(tested, message{member_updates{{"orders", sender}, false, {{changed, {}}}}});
+    LONGS_EQUAL(1, output.events.size());
+    CHECK(output.events[0].change == member_change::updated);
+    LONGS_EQUAL(size + 1, tested.members().size());
+}
+
 // Probes and gossip could exceed the 4 KB/s of control traffic that a node may cause.
 TEST(detector, steady_traffic_stays_within_the_budget)
 {
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -75,6 +75,23 @@
     LONGS_EQUAL(before, only.executed.size());
 }
 
+// Earlier versions of the program kept the deregistration in the status of the node's object. A node that is replaced
+// by this version must still find it there.
+TEST(mesh_node, a_deregistration_stored_by_an_earlier_version_is_found)
+{
+    mesh::small_mesh mesh{{"orders"}};
+    mesh.configure("1 /o/=orders");
+    auto& only = *mesh.members[0];
+    mesh.kill(only);
+    mesh.content.put("poplar-nodes", "n1", R"({"peer":")" + core::to_string(only.settings.listen.peers) + R"("})");
+    mesh.content.objects[{"poplar-nodes", "n1"}].status = R"({"departed":"i-n1@100"})";
+    mesh.start(only);
+    mesh.wait(200ms);
+    static_cast<void>(mesh.send_heartbeat(only, false));
+    LONGS_EQUAL(503, mesh.call(only, "/o/1"));
+    LONGS_EQUAL(0, only.executed.size());
+}
+
 // A node whose store calls are refused must pull a new version from its peers, and no node may return to an older
 // version that appears in the store.
 TEST(mesh_node, a_version_reaches_nodes_that_the_store_refuses)
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -317,6 +317,8 @@
 std::vector<core::node_id> service_router::faster_peers(double slowdown, core::duration service_time)
 {
     constexpr double normal_percent = 100.0;
+    // Nodes send notices only at a change, so the last one about this VM may have expired, although its slowdown is
+    // known.
     this->router->on_slowdown_notice(this->identity->id, static_cast<std::uint32_t>(slowdown * normal_percent),
                                      this->loop->now());
     const auto extra_time = [service_time](double factor)
