Log the watchers of the configuration and the end of each pull

Cause: the logs told neither which nodes watch the store nor how long a pull took, so a late version could not be traced to lost watchers or to slow pulls. Change: records configuration_watch_rank_gained, configuration_watch_rank_lost and configuration_pull_ended, the size in configuration_applied, the gauge poplarport_configuration_watcher.

--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -65,6 +65,12 @@
         return this->document.version;
     }
 
+    /// @return whether this node is one of those that watch the store
+    [[nodiscard]] bool is_watcher() const noexcept
+    {
+        return this->has_watch_rank;
+    }
+
     /// @brief Responds to a member's pull.
     /// @param[in] above version that the member holds; only a newer one is returned
     [[nodiscard]] node::peer_document respond_to_pull(core::version above) const;
@@ -78,7 +84,8 @@
         bool reaches_store{true};
     };
 
-    [[nodiscard]] bool has_watch_rank() const;
+    /// @return whether this node is one of those that watch the store, by the members known now
+    [[nodiscard]] bool update_watch_rank();
     void run_step();
     void schedule();
     void list(store::consistency wanted);
@@ -94,6 +101,7 @@
     void read_after_slow_pulls();
     [[nodiscard]] std::vector<core::node_id> newer_members() const;
     void pull_from(const core::node_id& id);
+    void handle_pulled(const core::node_id& id, core::time_point started_at, const node::detail::pull_result& result);
 
     net::event_loop* loop;
     core::node_id self;
@@ -108,6 +116,7 @@
     configuration::document document{};
     core::version newest_known{0}; ///< newest version that a member has announced
     store::revision listed_at{0};
+    bool has_watch_rank{false};
     int failures{0}; ///< consecutive store calls without a response
     int pulls{0};    ///< pulls from members in progress
     bool is_reading_after_pulls{false};
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -114,7 +114,7 @@
     }
 }
 
-bool configuration_task::has_watch_rank() const
+bool configuration_task::update_watch_rank()
 {
     std::size_t higher_ranked = 0;
     std::size_t live_watchers = 0;
@@ -126,13 +126,22 @@
             live_watchers += peer.reaches_store ? 1 : 0;
         }
     }
-    return live_watchers < watcher_count && higher_ranked < watcher_count + max_replacements;
+    const bool has_rank = live_watchers < watcher_count && higher_ranked < watcher_count + max_replacements;
+    if (std::exchange(this->has_watch_rank, has_rank) != has_rank)
+    {
+        observability::log_record{has_rank ? "configuration_watch_rank_gained" : "configuration_watch_rank_lost"}
+            .with("higher_ranked", static_cast<std::int64_t>(higher_ranked))
+            .with("live_watchers", static_cast<std::int64_t>(live_watchers))
+            .with("held_version", static_cast<std::int64_t>(this->document.version))
+            .write(observability::log_level::info);
+    }
+    return has_rank;
 }
 
 void configuration_task::run_step()
 {
     const bool has_configuration = this->document.version != 0;
-    switch (this->watching.tick(this->has_watch_rank(), has_configuration, this->loop->now()))
+    switch (this->watching.tick(this->update_watch_rank(), has_configuration, this->loop->now()))
     {
     case configuration::watch_step::read_lagging:
         this->list(store::consistency::may_lag);
@@ -287,6 +296,7 @@
     observability::log_record{"configuration_applied"}
         .with("version", static_cast<std::int64_t>(table->version()))
         .with("routes", static_cast<std::int64_t>(table->source().routes.size()))
+        .with("bytes", static_cast<std::int64_t>(text.size()))
         .with("source", source)
         .write(observability::log_level::info);
     this->events.on_route_table(table);
@@ -365,21 +375,33 @@
     }
     ++this->pulls;
     this->pull_wakeup.schedule(next_pull_delay);
-    node::detail::pull_document(*link, this->cluster_key,
-                                "/.poplar/config/mesh?above=" + std::to_string(this->document.version),
-                                [this, id, still_alive = this->alive](const node::detail::pull_result& result)
-                                {
-                                    if (!*still_alive)
-                                    {
-                                        return;
-                                    }
-                                    --this->pulls;
-                                    if (result.document)
-                                    {
-                                        this->accept_document(result.document->content, id);
-                                    }
-                                    this->pull_wakeup.schedule(pull_retry_delay);
-                                });
+    node::detail::pull_document(
+        *link, this->cluster_key, "/.poplar/config/mesh?above=" + std::to_string(this->document.version),
+        [this, id, started_at = this->loop->now(), still_alive = this->alive](const node::detail::pull_result& result)
+        {
+            if (*still_alive)
+            {
+                this->handle_pulled(id, started_at, result);
+            }
+        });
+}
+
+void configuration_task::handle_pulled(const core::node_id& id, core::time_point started_at,
+                                       const node::detail::pull_result& result)
+{
+    --this->pulls;
+    observability::log_record{"configuration_pull_ended"}
+        .with("member", id)
+        .with("responded", result.responded ? "true" : "false")
+        .with("version", static_cast<std::int64_t>(result.document ? result.document->version : 0))
+        .with("held_version", static_cast<std::int64_t>(this->document.version))
+        .with("took_us", this->loop->now() - started_at)
+        .write(observability::log_level::info);
+    if (result.document)
+    {
+        this->accept_document(result.document->content, id);
+    }
+    this->pull_wakeup.schedule(pull_retry_delay);
 }
 
 node::peer_document configuration_task::respond_to_pull(core::version above) const
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -283,6 +283,8 @@
     add("poplarport_members", "Live members of the mesh.", [this] { return this->members.size(); });
     add("poplarport_configuration_version", "Version of the configuration that is in force.",
         [this] { return this->configuration->version(); });
+    add("poplarport_configuration_watcher", "Whether the node is one of those that watch the configuration.",
+        [this] { return this->configuration->is_watcher() ? 1 : 0; });
     add("poplarport_store_calls", "Calls to the object store, a watch counted as one.",
         [this] { return this->platform_adapter.objects->calls(); });
     add("poplarport_store_failures", "Calls to the object store without a usable answer.",
