Compress the configurations that nodes pull from each other

Cause: each node pulls the whole document, 266 KB with 1,500 routes, and the nodes of a zone pull at the same time from the first one that has it, over its link of 10 Mbit/s. Change: a pull says that it accepts zlib, and the response is compressed, once a version. Nodes of earlier versions neither ask for it nor send it.

--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -72,8 +72,8 @@
     }
 
     /// @brief Responds to a member's pull.
-    /// @param[in] above version that the member holds; only a newer one is returned
-    [[nodiscard]] node::peer_document respond_to_pull(core::version above) const;
+    /// @param[in] target path and query of the pull; only a newer version than the one stated there is returned
+    [[nodiscard]] node::peer_document respond_to_pull(std::string_view target);
 
   private:
     struct peer_state
@@ -114,7 +114,8 @@
     std::map<core::node_id, peer_state> peers{};
     configuration::watch_schedule watching;
     configuration::document document{};
-    core::version newest_known{0}; ///< newest version that a member has announced
+    std::map<bool, node::peer_document> encoded_documents{}; ///< response to pulls, by whether it is compressed
+    core::version newest_known{0};                           ///< newest version that a member has announced
     store::revision listed_at{0};
     bool has_watch_rank{false};
     int failures{0}; ///< consecutive store calls without a response
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -292,6 +292,7 @@
     }
     this->document.version = value->version;
     this->document.content = text;
+    this->encoded_documents.clear();
     const auto table = std::make_shared<const routes::route_table>(std::move(*value));
     observability::log_record{"configuration_applied"}
         .with("version", static_cast<std::int64_t>(table->version()))
@@ -404,9 +405,19 @@
     this->pull_wakeup.schedule(pull_retry_delay);
 }
 
-node::peer_document configuration_task::respond_to_pull(core::version above) const
+node::peer_document configuration_task::respond_to_pull(std::string_view target)
 {
-    return node::detail::make_document_response(this->document.version == 0 ? nullptr : &this->document, above);
+    if (this->document.version <= node::detail::query_number(target, "above"))
+    {
+        return node::detail::make_document_response(nullptr, target);
+    }
+    const bool compressed = node::detail::accepts_compression(target);
+    auto& response = this->encoded_documents[compressed];
+    if (response.status == 0)
+    {
+        response = node::detail::encode_document(this->document, compressed);
+    }
+    return response;
 }
 
 } // namespace poplarport::mesh
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -265,7 +265,7 @@
     constexpr int not_found = 404;
     if (target.substr(0, target.find('?')) == config_path)
     {
-        return this->configuration->respond_to_pull(node::detail::query_number(target, "above"));
+        return this->configuration->respond_to_pull(target);
     }
     return {not_found, "text/plain", "no such document\n"};
 }
--- a/libs/node/include/poplarport/node/configuration_task.hpp
+++ b/libs/node/include/poplarport/node/configuration_task.hpp
@@ -55,8 +55,8 @@
 
     /// @brief Responds to another node's pull.
     /// @param[in] service name of the service
-    /// @param[in] above   version that the other node holds
-    [[nodiscard]] peer_document respond_to_pull(const std::string& service, core::version above) const;
+    /// @param[in] target  path and query of the pull
+    [[nodiscard]] peer_document respond_to_pull(const std::string& service, std::string_view target) const;
 
     /// @return the active version, zero for none
     [[nodiscard]] core::version version_of(const std::string& service) const;
--- a/libs/node/include/poplarport/node/detail/document_pull.hpp
+++ b/libs/node/include/poplarport/node/detail/document_pull.hpp
@@ -31,6 +31,7 @@
 struct document_reply
 {
     int status{0}; ///< HTTP status, zero without a response
+    std::string content_type{};
     std::string body{};
 };
 
@@ -43,13 +44,28 @@
                       std::function<void(const document_reply&)> hook);
 
 /// @brief Pulls a configuration document from another node.
+/// @param[in] link        link to the node
+/// @param[in] cluster_key key that authenticates this node
+/// @param[in] target      path and query, which states the version that this node holds
+/// @param[in] hook        called once, never before this function has returned
 void pull_document(peer::link& link, const std::string& cluster_key, const std::string& target,
                    std::function<void(const pull_result&)> hook);
 
+/// @return whether the node that sent a pull accepts a compressed document; earlier versions of the program do not
+[[nodiscard]] bool accepts_compression(std::string_view target);
+
+/// @brief Creates a response that contains a document.
+/// @param[in] document   the document
+/// @param[in] compressed whether it is compressed
+[[nodiscard]] peer_document encode_document(const configuration::document& document, bool compressed);
+
 /// @brief Creates the response to another node's pull.
 /// @param[in] current active document of this node, or nullptr
-/// @param[in] above   version that the other node holds
-[[nodiscard]] peer_document make_document_response(const configuration::document* current, core::version above);
+/// @param[in] target  path and query of the pull
+[[nodiscard]] peer_document make_document_response(const configuration::document* current, std::string_view target);
+
+/// @brief Reads the response to a pull.
+[[nodiscard]] pull_result read_document_response(const document_reply& reply);
 
 /// @return the numeric value of a query parameter, or zero
 [[nodiscard]] std::uint64_t query_number(std::string_view target, std::string_view name);
--- a/libs/node/src/configuration_task.cpp
+++ b/libs/node/src/configuration_task.cpp
@@ -83,10 +83,10 @@
     }
 }
 
-peer_document configuration_task::respond_to_pull(const std::string& service, core::version above) const
+peer_document configuration_task::respond_to_pull(const std::string& service, std::string_view target) const
 {
     const auto* const current = this->follower.find(service);
-    return detail::make_document_response(current, above);
+    return detail::make_document_response(current, target);
 }
 
 core::version configuration_task::version_of(const std::string& service) const
--- a/libs/node/src/document_pull.cpp
+++ b/libs/node/src/document_pull.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "poplarport/node/detail/peer_channel.hpp"
+#include "poplarport/wire/compression.hpp"
 
 namespace poplarport::node::detail
 {
@@ -18,6 +19,10 @@
 constexpr int ok = 200;
 constexpr int no_content = 204;
 constexpr const char* cbor_type = "application/cbor";
+constexpr const char* compressed_type = "application/cbor+zlib";
+
+constexpr std::string_view encoding_parameter = "encoding";
+constexpr std::string_view compressed_encoding = "zlib";
 
 // The size limit of a document is 1 MB; the remainder is reserved for the encoding.
 constexpr std::size_t max_reply_bytes = 2U << 20U;
@@ -69,6 +74,8 @@
     hooks.on_response_header = [reply](http::response_header& response)
     {
         reply->status = response.status;
+        const auto* const type = response.fields.find("content-type");
+        reply->content_type = type == nullptr ? std::string{} : *type;
     };
     hooks.on_body = [reply](std::string_view bytes)
     {
@@ -92,28 +99,47 @@
 void pull_document(peer::link& link, const std::string& cluster_key, const std::string& target,
                    std::function<void(const pull_result&)> hook)
 {
-    request_document(link, cluster_key, target,
-                     [hook = std::move(hook)](const document_reply& reply)
-                     {
-                         pull_result result;
-                         result.responded = reply.status == ok || reply.status == no_content;
-                         if (reply.status == ok)
-                         {
-                             result.document = parse_pulled(reply.body);
-                             result.responded = result.document.has_value();
-                         }
-                         hook(result);
-                     });
+    auto complete_target = target;
+    complete_target.append("&").append(encoding_parameter).append("=").append(compressed_encoding);
+    request_document(link, cluster_key, complete_target,
+                     [hook = std::move(hook)](const document_reply& reply) { hook(read_document_response(reply)); });
+}
+
+bool accepts_compression(std::string_view target)
+{
+    return query_parameter(target, encoding_parameter) == compressed_encoding;
+}
+
+peer_document encode_document(const configuration::document& document, bool compressed)
+{
+    const auto bytes = nlohmann::json::to_cbor({{"version", document.version}, {"content", document.content}});
+    std::string body{bytes.begin(), bytes.end()};
+    return compressed ? peer_document{ok, compressed_type, wire::compress(body)}
+                      : peer_document{ok, cbor_type, std::move(body)};
 }
 
-peer_document make_document_response(const configuration::document* current, core::version above)
+peer_document make_document_response(const configuration::document* current, std::string_view target)
 {
-    if (current == nullptr || current->version <= above)
+    if (current == nullptr || current->version <= query_number(target, "above"))
     {
         return {no_content, cbor_type, {}};
     }
-    const auto bytes = nlohmann::json::to_cbor({{"version", current->version}, {"content", current->content}});
-    return {ok, cbor_type, std::string{bytes.begin(), bytes.end()}};
+    return encode_document(*current, accepts_compression(target));
+}
+
+pull_result read_document_response(const document_reply& reply)
+{
+    pull_result result;
+    result.responded = reply.status == ok || reply.status == no_content;
+    if (reply.status != ok)
+    {
+        return result;
+    }
+    const auto body = reply.content_type == compressed_type ? wire::decompress(reply.body, max_reply_bytes)
+                                                            : std::optional{reply.body};
+    result.document = body ? parse_pulled(*body) : std::nullopt;
+    result.responded = result.document.has_value();
+    return result;
 }
 
 std::uint64_t query_number(std::string_view target, std::string_view name)
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -275,8 +275,7 @@
     const auto path = target.substr(0, target.find('?'));
     if (path.starts_with(config_prefix))
     {
-        return this->configuration->respond_to_pull(std::string{path.substr(config_prefix.size())},
-                                                    detail::query_number(target, "above"));
+        return this->configuration->respond_to_pull(std::string{path.substr(config_prefix.size())}, target);
     }
     if (path.starts_with(members_prefix) && path.substr(members_prefix.size()) == this->settings.service)
     {
