Let a new watcher of the configuration start without waiting for a scheduled read

Seen while CONFIG was traced: in a group of ten nodes whose six watchers were lost, the other four gained the rank of watchers after 1.3 s and read the store only 1.7 s later.

Cause: a node that receives its first configuration from a member still has its next lagging read scheduled, up to four seconds later, and is not considered idle; the wait for that read also held back the first read of a watcher. The records configuration_watch_rank_gained (32.920 s) and configuration_applied (34.602 s) show the gap. Change: the wait between two lagging reads no longer holds back a node that must watch; the wait after a failed call still does. Measured result: a_scheduled_read_does_not_delay_a_new_watcher fails before the change and passes with it.

--- a/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
+++ b/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
@@ -102,6 +102,7 @@
     core::duration poll_interval;
     core::duration failure_delay;
     bool is_idle{false}; ///< another member's change of rank is awaited
+    bool is_polling{false}; ///< the next step is another read, after a read that may have found no configuration
     bool had_peers{false};
     bool has_revision{false}; ///< a read has returned the revision from which a watch continues
     watch_step in_progress{watch_step::none};
--- a/libs/configuration/src/watch_schedule.cpp
+++ b/libs/configuration/src/watch_schedule.cpp
@@ -38,11 +38,13 @@
         }
         return watch_step::none;
     }
-    if (now < this->next_step && !this->is_idle)
+    const bool may_start = this->is_idle || (this->is_polling && must_watch);
+    if (now < this->next_step && !may_start)
     {
         return watch_step::none;
     }
     this->is_idle = false;
+    this->is_polling = false;
     this->in_progress = !must_watch          ? watch_step::read_lagging
                         : this->has_revision ? watch_step::watch
                                              : watch_step::read_latest;
@@ -58,6 +60,7 @@
         this->next_step = now;
         return;
     }
+    this->is_polling = true;
     this->next_step = now + core::jittered_interval(this->poll_interval, random);
     if (!this->is_settled(now))
     {
--- a/libs/configuration/tests/unit-watch_schedule.cpp
+++ b/libs/configuration/tests/unit-watch_schedule.cpp
@@ -68,6 +68,25 @@
     CHECK(schedule.tick(true, true, now + 1s) == watch_step::watch);
 }
 
+// A node that has pulled its first configuration still has a read scheduled, seconds later. It must not wait for it when
+// it becomes a watcher.
+TEST(watch_schedule, a_scheduled_read_does_not_delay_a_new_watcher)
+{
+    std::mt19937_64 random{1};
+    const core::time_point start{100s};
+    watch_schedule schedule{{}, start, random};
+    auto now = start;
+    for (; now < start + 5s; now = schedule.next_wakeup())
+    {
+        CHECK(schedule.tick(false, false, now) == watch_step::read_lagging);
+        schedule.on_read(now, random);
+    }
+    now -= 2s;
+    schedule.on_members_changed(true, now);
+    now = schedule.next_wakeup();
+    CHECK(schedule.tick(true, true, now) == watch_step::read_latest);
+}
+
 // A member that gains the rank of a watcher because another one has ended or lost the store must watch within the time
 // in which a change must be in force.
 TEST(watch_schedule, a_lost_watcher_is_replaced_within_a_second)
