Replace lost watchers of the configuration as soon as they do not respond

Cause: six nodes watch the store, and the others learn of a version from members only. A lost watcher was replaced when it was declared dead: its turn in the probes (one member a second and node), a second, and a suspicion of 4 s * log10(members). Ruled out: the pulls, which took milliseconds, and the store, which answered the first call at once. Change: a node whose direct probe times out checks at once the members that rank before it as watchers (detector::check, two pings within the probe timeout), and a suspect member is no watcher. One check a second and node at most, of 18 members at most, and only while probes time out.

--- a/libs/membership/include/poplarport/membership/detector.hpp
+++ b/libs/membership/include/poplarport/membership/detector.hpp
@@ -30,6 +30,7 @@
 {
     std::vector<outgoing> messages;
     std::vector<member_event> events;
+    bool probe_timed_out{false}; ///< a member has not responded to a direct probe in time
 };
 
 /// @brief Monotonic counters of a detector.
@@ -68,6 +69,15 @@
     [[nodiscard]] detector_output contact_seeds(std::vector<core::socket_address> addresses,
                                                 std::mt19937_64& random) const;
 
+    /// @brief Pings members beside the regular probes; one that does not respond within the probe timeout is suspect.
+    ///
+    /// The regular probes reach each member once in as many intervals as there are members. The ping is repeated once,
+    /// so that a single lost datagram causes no suspicion. Unknown and suspect members are ignored, and so are those
+    /// whose check is in progress.
+    /// @param[in] ids the members
+    /// @param[in] now current time
+    [[nodiscard]] detector_output check(const std::vector<core::node_id>& ids, core::time_point now);
+
     /// @brief Sends probes, gossip updates and list comparisons that are due.
     /// @param[in]     now    current time
     /// @param[in,out] random source of jitter and random selections
@@ -136,6 +146,14 @@
         bool indirect_sent{false};
     };
 
+    /// @brief A check of a member, started by the owner.
+    struct check_state
+    {
+        std::uint64_t sequence{0};
+        core::time_point repeat_at; ///< when the ping is repeated; the maximum once it has been
+        core::time_point end;
+    };
+
     struct relay
     {
         core::socket_address requester;
@@ -154,6 +172,9 @@
     void start_probe(core::time_point now, std::mt19937_64& random, detector_output& output);
     void send_indirect_probes(core::time_point now, std::mt19937_64& random, detector_output& output);
     void suspect_probed(core::time_point now, std::mt19937_64& random, detector_output& output);
+    void suspect(const core::node_id& id, core::time_point now, std::mt19937_64& random, detector_output& output);
+    void send_ping(const core::node_id& id, std::uint64_t sequence, core::time_point now, detector_output& output);
+    void advance_checks(core::time_point now, std::mt19937_64& random, detector_output& output);
     [[nodiscard]] std::optional<core::node_id> next_target(std::mt19937_64& random);
     void expire_members(core::time_point now, detector_output& output);
     void gossip_when_due(core::time_point now, std::mt19937_64& random, detector_output& output);
@@ -199,6 +220,7 @@
     detail::gossip_queue pending_updates;
     std::vector<core::node_id> probe_order;
     std::optional<probe_state> probe;
+    std::map<core::node_id, check_state> checks;
     std::map<std::uint64_t, relay> relays;
     std::uint64_t last_sequence{0};
     core::time_point next_probe;
--- a/libs/membership/src/detector.cpp
+++ b/libs/membership/src/detector.cpp
@@ -50,6 +50,7 @@
     this->detect_freeze(now, random);
     std::erase_if(this->relays, [now](const auto& each) { return now >= each.second.expiry; });
     this->probe_when_due(now, random, output);
+    this->advance_checks(now, random, output);
     this->expire_members(now, output);
     this->sync_when_due(now, random, output);
     this->gossip_when_due(now, random, output);
@@ -172,6 +173,10 @@
     {
         next = std::min(next, this->probe->direct_end);
     }
+    for (const auto& [id, check] : this->checks)
+    {
+        next = std::min({next, check.repeat_at, check.end});
+    }
     if (const auto expiry = this->table.next_expiry())
     {
         next = std::min(next, *expiry);
@@ -198,6 +203,7 @@
     // Responses that arrived during the freeze may still be unread, so a missing one does not indicate a failure.
     ++this->counts.freezes;
     this->probe.reset();
+    this->checks.clear();
     this->table.postpone_suspicions(delay);
     this->next_probe = now + core::random_duration(this->limits.probe_interval, random);
 }
@@ -229,18 +235,66 @@
     {
         return;
     }
-    const member& peer = this->table.find(*target)->member;
     this->probe = probe_state{*target, ++this->last_sequence, now + this->limits.probe_timeout, false};
-    ping request{this->header(), this->probe->sequence, *target, {}};
+    this->send_ping(*target, this->probe->sequence, now, output);
+}
+
+void detector::send_ping(const core::node_id& id, std::uint64_t sequence, core::time_point now, detector_output& output)
+{
+    const member& peer = this->table.find(id)->member;
+    ping request{this->header(), sequence, id, {}};
     // A suspect member receives its own entry first, so that it can refute the suspicion in its response.
-    request.gossip =
-        this->take_gossip(estimated_size(message{request}), *target, peer.state != member_state::alive, now);
+    request.gossip = this->take_gossip(estimated_size(message{request}), id, peer.state != member_state::alive, now);
     output.messages.push_back({peer.peer_address, std::move(request)});
 }
 
+detector_output detector::check(const std::vector<core::node_id>& ids, core::time_point now)
+{
+    detector_output output;
+    if (this->passive())
+    {
+        return output;
+    }
+    for (const core::node_id& id : ids)
+    {
+        const auto* record = this->table.find(id);
+        if (record == nullptr || record->member.state != member_state::alive || this->checks.contains(id))
+        {
+            continue;
+        }
+        const auto sequence = ++this->last_sequence;
+        this->checks[id] = {sequence, now + this->limits.probe_timeout / 2, now + this->limits.probe_timeout};
+        this->send_ping(id, sequence, now, output);
+    }
+    this->expect_wakeup(now);
+    return output;
+}
+
+void detector::advance_checks(core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    for (auto position = this->checks.begin(); position != this->checks.end();)
+    {
+        const core::node_id id = position->first;
+        check_state& check = position->second;
+        if (now >= check.end || this->table.find(id) == nullptr)
+        {
+            position = this->checks.erase(position);
+            this->suspect(id, now, random, output);
+            continue;
+        }
+        if (now >= check.repeat_at)
+        {
+            check.repeat_at = core::time_point::max();
+            this->send_ping(id, check.sequence, now, output);
+        }
+        ++position;
+    }
+}
+
 void detector::send_indirect_probes(core::time_point now, std::mt19937_64& random, detector_output& output)
 {
     this->probe->indirect_sent = true;
+    output.probe_timed_out = true;
     const auto* target = this->table.find(this->probe->target);
     if (target == nullptr)
     {
@@ -261,14 +315,20 @@
     {
         return;
     }
-    const auto* target = this->table.find(this->probe->target);
+    const auto target = this->probe->target;
     this->probe.reset();
-    if (target == nullptr || target->member.state != member_state::alive)
+    this->suspect(target, now, random, output);
+}
+
+void detector::suspect(const core::node_id& id, core::time_point now, std::mt19937_64& random, detector_output& output)
+{
+    const auto* record = this->table.find(id);
+    if (record == nullptr || record->member.state != member_state::alive)
     {
         return;
     }
     ++this->counts.suspicions;
-    member_entry entry{target->member, {}};
+    member_entry entry{record->member, {}};
     entry.member.state = member_state::suspect;
     this->apply(entry, now, random, output);
 }
--- a/libs/membership/src/detector_messages.cpp
+++ b/libs/membership/src/detector_messages.cpp
@@ -72,6 +72,10 @@
         this->probe.reset();
         return;
     }
+    if (std::erase_if(this->checks, [&](const auto& each) { return each.second.sequence == response.sequence; }) > 0)
+    {
+        return;
+    }
     const auto found = this->relays.find(response.sequence);
     if (found == this->relays.end())
     {
--- a/libs/membership/tests/unit-detector.cpp
+++ b/libs/membership/tests/unit-detector.cpp
@@ -73,6 +73,50 @@
     LONGS_EQUAL(size + 1, tested.members().size());
 }
 
+// Pattern: many members of a group of hundreds lose power at once. The regular probes find a certain one of them only
+// after seconds; a check must find it within the probe timeout, and must not suspect a member for one lost datagram.
+TEST(detector, a_check_finds_a_lost_member_within_the_probe_timeout)
+{
+    const detector_settings settings;
+    auto tested = this->build(entry("self", 1, "10.0.0.1"));
+    const auto sender = entry("m0", 1, "10.0.0.2");
+    std::vector<member_entry> entries;
+    for (int index = 1; index < 300; ++index)
+    {
+        entries.push_back({entry(("m" + std::to_string(index)).c_str(), 1, "10.0.0.3"), {}});
+    }
+    static_cast<void>(this->receive(tested, message{member_updates{{"orders", sender}, false, entries}}));
+    const auto begin = this->now;
+    const auto first = tested.check({"m1", "m2", "unknown"}, this->now);
+    LONGS_EQUAL(2, first.messages.size());
+    LONGS_EQUAL(0, tested.check({"m1"}, this->now).messages.size());
+    std::vector<core::node_id> suspects;
+    bool responded = false;
+    while (this->now < begin + settings.probe_timeout)
+    {
+        this->now = tested.next_wakeup();
+        const auto output = tested.tick(this->now, this->random);
+        for (const auto& event : output.events)
+        {
+            suspects.push_back(event.member.id);
+        }
+        for (const auto& sent : output.messages)
+        {
+            // The first ping of m2 was lost; it responds to the second.
+            const auto* const request = std::get_if<ping>(&sent.message);
+            if (request != nullptr && request->target == "m2" && !responded)
+            {
+                responded = true;
+                static_cast<void>(
+                    this->receive(tested, message{ack{{"orders", entry("m2", 1, "10.0.0.3")}, request->sequence, {}}}));
+            }
+        }
+    }
+    CHECK(responded);
+    LONGS_EQUAL(1, suspects.size());
+    STRCMP_EQUAL("m1", suspects[0].c_str());
+}
+
 // Probes and gossip could exceed the 4 KB/s of control traffic that a node may cause.
 TEST(detector, steady_traffic_stays_within_the_budget)
 {
--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -59,6 +59,9 @@
     /// @brief Removes a member; an unknown one is ignored.
     void remove_member(const core::node_id& id);
 
+    /// @return the members that may watch the store instead of this node, which decide whether it has to watch
+    [[nodiscard]] std::vector<core::node_id> higher_ranked_members() const;
+
     /// @return the active version, zero for none
     [[nodiscard]] core::version version() const noexcept
     {
@@ -82,6 +85,7 @@
         std::string availability_zone;
         core::version version{0};
         bool reaches_store{true};
+        bool is_suspect{false};
     };
 
     /// @return whether this node is one of those that watch the store, by the members known now
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -1,8 +1,9 @@
 #include "poplarport/mesh/configuration_task.hpp"
 
-#include <algorithm> // max
-#include <chrono>    // milliseconds, seconds
-#include <utility>   // exchange, move
+#include <algorithm>  // max, min, ranges::sort
+#include <chrono>     // milliseconds, seconds
+#include <functional> // greater
+#include <utility>    // exchange, move, pair
 
 #include "poplarport/core/jitter.hpp"
 #include "poplarport/membership/rendezvous.hpp"
@@ -66,7 +67,8 @@
     }
     const auto [position, is_new] = this->peers.try_emplace(member.id);
     auto& peer = position->second;
-    const bool may_change_ranks = is_new || peer.reaches_store != member.reaches_store;
+    const bool is_suspect = member.state == membership::member_state::suspect;
+    const bool may_change_ranks = is_new || peer.reaches_store != member.reaches_store || peer.is_suspect != is_suspect;
     if (is_new)
     {
         peer.weight = membership::rendezvous_weight(rank_key, member.id);
@@ -74,6 +76,7 @@
     peer.availability_zone = member.availability_zone;
     peer.version = member.configuration_version;
     peer.reaches_store = member.reaches_store;
+    peer.is_suspect = is_suspect;
     this->expect_version(member.id, peer.version);
     if (may_change_ranks)
     {
@@ -120,7 +123,8 @@
     std::size_t live_watchers = 0;
     for (const auto& [id, peer] : this->peers)
     {
-        if (peer.weight > this->local_weight)
+        // A suspect member has probably failed; it is declared dead only seconds later.
+        if (peer.weight > this->local_weight && !peer.is_suspect)
         {
             ++higher_ranked;
             live_watchers += peer.reaches_store ? 1 : 0;
@@ -138,6 +142,26 @@
     return has_rank;
 }
 
+std::vector<core::node_id> configuration_task::higher_ranked_members() const
+{
+    std::vector<std::pair<std::uint64_t, core::node_id>> ranked;
+    for (const auto& [id, peer] : this->peers)
+    {
+        if (peer.weight > this->local_weight && !peer.is_suspect)
+        {
+            ranked.emplace_back(peer.weight, id);
+        }
+    }
+    std::ranges::sort(ranked, std::greater{});
+    ranked.resize(std::min(ranked.size(), watcher_count + max_replacements));
+    std::vector<core::node_id> result;
+    for (auto& each : ranked)
+    {
+        result.push_back(std::move(each.second));
+    }
+    return result;
+}
+
 void configuration_task::run_step()
 {
     const bool has_configuration = this->document.version != 0;
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -152,10 +152,12 @@
                                          router->on_slowdown_notice(id, slowdown_percent);
                                      }
                                  },
-                                 .on_superseded =
+                                 .on_superseded = [this] { this->drain(); },
+                                 .on_probe_timeout =
                                      [this]
                                  {
-                                     this->drain();
+                                     // If all watchers have failed, nobody else learns of a new configuration.
+                                     this->gossip->check(this->configuration->higher_ranked_members());
                                  }});
 }
 
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -292,6 +292,40 @@
     }
 }
 
+// Pattern: all nodes that watch the store lose power at once, and the configuration changes at the same moment. The
+// other nodes must have it in force within config_apply, not only after the lost ones have been declared dead.
+TEST(mesh_node, a_version_is_in_force_in_time_when_all_watchers_are_lost)
+{
+    constexpr std::size_t watcher_count = 6;
+    constexpr auto config_apply = 2500ms;
+    mesh::small_mesh mesh{std::vector<std::string>(watcher_count + 4, "orders")};
+    mesh.configure("1 /o/=orders");
+    for (const auto& each : mesh.members)
+    {
+        CHECK_FALSE(mesh.send_heartbeat(*each));
+        CHECK(mesh.eventually_responds(*each, "/o/1", 200));
+    }
+    mesh.run_until([&] { return mesh.watchers() == watcher_count; });
+    mesh.wait(500ms);
+    for (const auto& each : mesh.members)
+    {
+        if (each->objects->has_watch())
+        {
+            each->node.reset();
+        }
+    }
+    std::erase_if(mesh.content.watches, [](const auto&) { return true; });
+    mesh.configure("3 /o/=orders /n/=orders");
+    const auto acknowledged_at = mesh.loop.now();
+    const auto is_in_force = [](const auto& each)
+    {
+        return each->node == nullptr ||
+               each->node->metrics_text().find("\npoplarport_configuration_version 3\n") != std::string::npos;
+    };
+    mesh.run_until([&] { return std::ranges::all_of(mesh.members, is_in_force); });
+    CHECK(mesh.loop.now() - acknowledged_at < config_apply);
+}
+
 // A new version must reach all nodes when the store refuses every node that watches it.
 TEST(mesh_node, remaining_nodes_watch_the_store_in_place_of_refused_ones)
 {
--- a/libs/node/include/poplarport/node/gossip_task.hpp
+++ b/libs/node/include/poplarport/node/gossip_task.hpp
@@ -54,6 +54,8 @@
         /// A member sent a slowdown notice: the current duration of work in percent of the usual one.
         std::function<void(const core::node_id&, std::uint32_t)> on_slowdown_notice;
         std::function<void()> on_superseded; ///< a later incarnation of this node id is alive elsewhere
+        /// A member has not responded to a direct probe in time; others may have failed with it.
+        std::function<void()> on_probe_timeout{};
     };
 
     /// @param[in] loop       event loop of the node
@@ -71,6 +73,9 @@
     /// @brief Contacts the addresses that do not belong to a live member.
     void contact(const std::vector<core::socket_address>& addresses);
 
+    /// @brief Checks at once whether members respond; those that do not become suspect.
+    void check(const std::vector<core::node_id>& ids);
+
     /// @brief Announces that the local member leaves the group.
     void leave();
 
--- a/libs/node/src/gossip_task.cpp
+++ b/libs/node/src/gossip_task.cpp
@@ -97,6 +97,12 @@
     this->act_on(this->protocol.contact_seeds(addresses, *this->random));
 }
 
+void gossip_task::check(const std::vector<core::node_id>& ids)
+{
+    this->act_on(this->protocol.check(ids, this->loop->now()));
+    this->schedule();
+}
+
 void gossip_task::leave()
 {
     this->act_on(this->protocol.leave(this->loop->now(), *this->random));
@@ -153,18 +159,18 @@
             this->events.on_superseded();
         }
     }
-    if (output.events.empty())
-    {
-        return;
-    }
-    if (this->events.on_events)
+    if (!output.events.empty() && this->events.on_events)
     {
         this->events.on_events(output.events);
     }
-    if (this->events.on_members)
+    if (!output.events.empty() && this->events.on_members)
     {
         this->events.on_members(this->members());
     }
+    if (output.probe_timed_out && this->events.on_probe_timeout)
+    {
+        this->events.on_probe_timeout();
+    }
 }
 
 void gossip_task::send(const core::socket_address& to, const std::string& bytes)
