Read and log the request limit that an upstream names

Cause: nothing in the logs told that an upstream names a limit, from when to when, and with which responses, so the hypotheses on LIMIT could not be told apart. No decision uses it.

--- a/libs/mesh/include/poplarport/mesh/adapter.hpp
+++ b/libs/mesh/include/poplarport/mesh/adapter.hpp
@@ -27,6 +27,7 @@
 {
     std::string upstream; ///< id of the upstream that responded; empty when it sends none
     std::optional<node::upstream_load> load{};
+    node::upstream_notice notice{};
 };
 
 /// @brief Connects a mesh node to the platform of its installation; every member must be set.
--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -2,6 +2,7 @@
 
 #include <functional> // function
 #include <memory>     // shared_ptr, unique_ptr
+#include <optional>   // optional
 #include <string>     // string
 
 #include "poplarport/mesh/adapter.hpp"
@@ -66,6 +67,12 @@
         return *this->local_receiver;
     }
 
+    /// @return requests per second that the upstream takes, as it stated last; empty for no limit
+    [[nodiscard]] std::optional<double> max_request_rate() const noexcept
+    {
+        return this->max_rate;
+    }
+
     /// @return whether the upstream accepts work
     [[nodiscard]] bool accepting() const noexcept
     {
@@ -81,6 +88,7 @@
     void finish_load_requests();
     void handle_check(const http::response_header* response);
     void handle_load(const node::upstream_load& load);
+    void handle_notice(const node::upstream_notice& notice, std::string_view source);
     void handle_failed_check();
     void set_down(bool down, std::string_view reason);
     void update(std::string_view reason);
@@ -96,6 +104,7 @@
     core::time_point started_at;
     std::uint32_t published_slowdown{100};
     std::uint32_t slots{1};
+    std::optional<double> max_rate{}; ///< requests per second that the upstream takes, as it stated last
     int failed_checks{0};
     bool is_down{false};
     bool is_accepting{false};
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -54,6 +54,13 @@
     return limits;
 }
 
+// Time between two requests at a rate per second; zero without a limit.
+core::duration interval_of(const std::optional<double>& rate)
+{
+    constexpr std::chrono::duration<double> second{1};
+    return rate && *rate > 0.0 ? std::chrono::duration_cast<core::duration>(second / *rate) : core::duration::zero();
+}
+
 } // namespace
 
 upstream_task::upstream_task(net::event_loop& owner, const mesh_settings& node_settings,
@@ -70,6 +77,10 @@
     {
         this->handle_load(load);
     };
+    receiver_hooks.on_notice = [this](const node::upstream_notice& notice)
+    {
+        this->handle_notice(notice, "response");
+    };
     receiver_hooks.refresh_load = [this](std::function<void()> done)
     {
         this->refresh(std::move(done));
@@ -231,6 +242,7 @@
     {
         this->local_receiver->on_upstream_load(*report.load);
     }
+    this->handle_notice(report.notice, "status check");
     const auto& current = this->registry.current();
     const bool can_rely_on_deregistrations =
         this->events.deregistrations_loaded() || this->loop->now() - this->started_at > registration_delay;
@@ -285,6 +297,21 @@
     this->events.on_accepting(accepts);
 }
 
+void upstream_task::handle_notice(const node::upstream_notice& notice, std::string_view source)
+{
+    if (notice.max_request_rate == this->max_rate)
+    {
+        return;
+    }
+    observability::log_record{"upstream_request_limit"}
+        .with("upstream", registration::to_string(this->registry.current().instance))
+        .with("min_interval_us", interval_of(notice.max_request_rate))
+        .with("previous_interval_us", interval_of(this->max_rate))
+        .with("source", source)
+        .write(observability::log_level::info);
+    this->max_rate = notice.max_request_rate;
+}
+
 void upstream_task::handle_load(const node::upstream_load& load)
 {
     const auto slowdown = std::max(load.slowdown_percent, 1U);
--- a/libs/node/include/poplarport/node/call_protocol.hpp
+++ b/libs/node/include/poplarport/node/call_protocol.hpp
@@ -36,6 +36,13 @@
     std::uint32_t slowdown_percent{100}; ///< current duration of work in percent of the usual duration
 };
 
+/// @brief What an upstream states with a response about the requests that it accepts.
+struct upstream_notice
+{
+    /// Requests per second that it takes from all nodes together, until it no longer says so; empty for no limit.
+    std::optional<double> max_request_rate{};
+};
+
 /// @brief Classification of an upstream's response by its header section.
 enum class response_kind
 {
@@ -45,11 +52,12 @@
     foreign      ///< the response to another request, or one that cannot be attributed
 };
 
-/// @brief Classification of an upstream's response, with the load reported in it.
+/// @brief Classification of an upstream's response, with the load and the notice in it.
 struct response_classification
 {
     response_kind kind{response_kind::matching};
     std::optional<upstream_load> load{};
+    upstream_notice notice{};
 };
 
 /// @brief Result of a call to which the node responds itself.
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -79,6 +79,8 @@
         std::function<std::vector<core::node_id>(double slowdown, core::duration service_time)> faster_peers{};
         /// The upstream reported its load, with a response or a status check.
         std::function<void(const upstream_load&)> on_load{};
+        /// The upstream stated a notice with its response to a request.
+        std::function<void(const upstream_notice&)> on_notice{};
         /// Requests the upstream's load and calls the function after a short time limit at the latest, also without a
         /// response; may be empty.
         std::function<void(std::function<void()>)> refresh_load{};
--- a/libs/node/src/call_protocol.cpp
+++ b/libs/node/src/call_protocol.cpp
@@ -15,7 +15,7 @@
     constexpr int service_unavailable = 503;
     const auto* const not_run = response.fields.find("Poplar-Not-Run");
     const bool is_shed = response.status == service_unavailable && not_run != nullptr && *not_run == "true";
-    return {is_shed ? response_kind::not_run : response_kind::matching, std::nullopt};
+    return {is_shed ? response_kind::not_run : response_kind::matching, std::nullopt, {}};
 }
 
 local_response make_poplar_response(const call_description& description, const local_response_reason& reason)
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -112,6 +112,11 @@
     {
         this->owner->on_upstream_load(*verdict.load);
     }
+    const bool is_own_response = verdict.kind == response_kind::matching || verdict.kind == response_kind::not_run;
+    if (is_own_response && this->owner->events.on_notice)
+    {
+        this->owner->events.on_notice(verdict.notice);
+    }
     switch (verdict.kind)
     {
     case response_kind::not_run:
