Start requests at an upstream no faster than the limit that it names

Cause: the node beside the upstream passes a request on whenever a slot is free; no decision knew a rate. Ruled out: other paths to the upstream (there are none), a limit that comes and goes (one record at the start, one at the end). Change: admission::start_rate, a token bucket of one second of the rate, beside the slots in the gate. The expected wait includes the rate, so that a request that cannot start in time is refused at once and one that a peer starts sooner goes there; the reported slots are those that the rate permits, so that other nodes send less.

--- a/libs/admission/include/poplarport/admission/gate.hpp
+++ b/libs/admission/include/poplarport/admission/gate.hpp
@@ -12,6 +12,7 @@
 
 #include "poplarport/admission/detail/fair_queue.hpp"
 #include "poplarport/admission/errors.hpp"
+#include "poplarport/admission/start_rate.hpp"
 #include "poplarport/admission/ticket.hpp"
 #include "poplarport/core/ids.hpp"
 #include "poplarport/core/load_report.hpp"
@@ -75,6 +76,12 @@
     /// @throw std::invalid_argument if there are no slots or a weight is not positive
     [[nodiscard]] changes set_limits(limits new_limits, core::time_point now);
 
+    /// @brief Limits how many requests start per second, beside the slots.
+    /// @param[in] per_second requests per second; empty for no limit
+    /// @param[in] now        current time
+    /// @return the queued requests that start and those that are refused
+    [[nodiscard]] changes set_max_start_rate(std::optional<double> per_second, core::time_point now);
+
     /// @brief Refuses all later requests; queued and running requests continue within their deadlines.
     void drain() noexcept;
 
@@ -82,7 +89,9 @@
     /// @return the refused requests
     [[nodiscard]] std::vector<refusal> refuse_queued();
 
-    /// @return the load report to send with responses; `slots` is the current concurrency limit
+    /// @return the load report to send with responses; `slots` is the current concurrency limit, or the concurrency
+    /// that
+    ///         the start rate permits if that is lower
     [[nodiscard]] core::load_report load(core::time_point now) const;
 
     /// @return the estimated time until a ticket starts, zero if a slot is free
@@ -107,6 +116,7 @@
     gate(limits initial_limits, core::duration initial_service_time, core::duration ramp_duration,
          core::time_point now);
 
+    [[nodiscard]] bool can_start(core::time_point now) const;
     [[nodiscard]] bool meets_deadline(core::time_point deadline, core::time_point start, core::time_point now) const;
     /// @return whether a request may start regardless of the estimated service time, so that the estimate is renewed
     [[nodiscard]] bool has_exploration_capacity(core::time_point now) const noexcept;
@@ -122,6 +132,7 @@
     detail::fair_queue queue;
     std::unordered_map<core::request_id, running_request> running;
     measuring::duration_estimator service_time;
+    start_rate max_start_rate{};
     bool is_draining{false};
 };
 
--- a/libs/admission/src/gate.cpp
+++ b/libs/admission/src/gate.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/admission/gate.hpp"
 
-#include <algorithm> // clamp, max, ranges::any_of
+#include <algorithm> // clamp, max, min, ranges::any_of
 #include <cmath>     // floor
 #include <stdexcept> // invalid_argument
 
@@ -73,7 +73,7 @@
     {
         return refused(errors::deadline_unreachable);
     }
-    if (this->queue.size() == 0 && this->running.size() < this->concurrency_limit(now))
+    if (this->queue.size() == 0 && this->can_start(now))
     {
         this->start(offered, now);
         return {action::admit};
@@ -131,6 +131,12 @@
     return this->expire(now);
 }
 
+changes gate::set_max_start_rate(std::optional<double> per_second, core::time_point now)
+{
+    this->max_start_rate.set(per_second, now);
+    return this->expire(now);
+}
+
 void gate::drain() noexcept
 {
     this->is_draining = true;
@@ -149,10 +155,22 @@
 core::load_report gate::load(core::time_point now) const
 {
     core::load_report report;
+    const auto mean_service_time = this->service_time.estimate(now);
     report.slots = this->concurrency_limit(now);
+    if (const auto interval = this->max_start_rate.interval(); interval > core::duration::zero())
+    {
+        // At this rate, so many requests run at the same time on average.
+        const auto permitted =
+            static_cast<std::uint32_t>(std::min<core::duration::rep>(mean_service_time / interval, report.slots));
+        report.slots = std::max(permitted, 1U);
+    }
     report.in_flight = static_cast<std::uint32_t>(this->running.size());
+    if (!this->max_start_rate.may_start(now))
+    {
+        report.in_flight = std::max(report.in_flight, report.slots);
+    }
     report.queued = static_cast<std::uint32_t>(this->queue.size());
-    report.service_time = std::chrono::duration_cast<std::chrono::microseconds>(this->service_time.estimate(now));
+    report.service_time = std::chrono::duration_cast<std::chrono::microseconds>(mean_service_time);
     report.draining = this->is_draining;
     return report;
 }
@@ -160,14 +178,21 @@
 core::duration gate::expected_wait(const ticket& offered, core::time_point now) const
 {
     const std::uint32_t limit = this->concurrency_limit(now);
+    const double starts_before = this->queue.count_ahead_of(offered) + 1.0;
+    const auto rate_wait = this->max_start_rate.wait_for(starts_before, now);
     if (this->queue.size() == 0 && this->running.size() < limit)
     {
-        return core::duration::zero();
+        return rate_wait;
     }
     const double excess_requests = static_cast<double>(this->running.size()) - static_cast<double>(limit);
-    const double starts_before = this->queue.count_ahead_of(offered) + std::max(excess_requests, 0.0) + 1.0;
     const double start_interval = static_cast<double>(this->service_time.estimate(now).count()) / limit;
-    return core::duration{static_cast<core::duration::rep>(starts_before * start_interval)};
+    const double slot_wait = (starts_before + std::max(excess_requests, 0.0)) * start_interval;
+    return std::max(core::duration{static_cast<core::duration::rep>(slot_wait)}, rate_wait);
+}
+
+bool gate::can_start(core::time_point now) const
+{
+    return this->running.size() < this->concurrency_limit(now) && this->max_start_rate.may_start(now);
 }
 
 std::uint32_t gate::concurrency_limit(core::time_point now) const noexcept
@@ -204,6 +229,7 @@
     this->queue.charge(admitted.tenant, admitted.traffic_class);
     this->running.emplace(admitted.id, running_request{admitted.tenant, now});
     this->service_time.on_started(now);
+    this->max_start_rate.on_started(now);
 }
 
 void gate::remove_running(const core::request_id& id)
@@ -249,8 +275,7 @@
 
 void gate::fill_slots(changes& result, core::time_point now)
 {
-    const std::uint32_t limit = this->concurrency_limit(now);
-    while (this->running.size() < limit)
+    while (this->can_start(now))
     {
         const std::optional<ticket> next = this->queue.pop();
         if (!next)
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -310,6 +310,7 @@
         .with("source", source)
         .write(observability::log_level::info);
     this->max_rate = notice.max_request_rate;
+    this->local_receiver->set_max_request_rate(this->max_rate);
 }
 
 void upstream_task::handle_load(const node::upstream_load& load)
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -119,6 +119,9 @@
     /// limit. Running requests finish.
     void set_accepting(bool accepting);
 
+    /// @brief Limits the requests per second that the upstream gets from all nodes; empty for no limit.
+    void set_max_request_rate(std::optional<double> per_second);
+
     /// @brief Processes a load report that the upstream sent independently of a call.
     void on_upstream_load(const upstream_load& load);
 
