Send no more work to an upstream that states that it leaves

Cause: only heartbeats and deregistrations ended the work of an upstream. A heartbeat may come seconds after the first response that says the same, and the node beside the upstream kept on sending. Change: a response to one of its own requests, or a status check of the current instance, that states it lets the instance drain at once. The heartbeat that follows is acknowledged and recorded as before; a late heartbeat does not revert it, the next instance is ready again, and a leaving upstream is not registered by a status check.

--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -242,12 +242,11 @@
     {
         this->local_receiver->on_upstream_load(*report.load);
     }
-    this->handle_notice(report.notice, "status check");
     const auto& current = this->registry.current();
     const bool can_rely_on_deregistrations =
         this->events.deregistrations_loaded() || this->loop->now() - this->started_at > registration_delay;
-    const bool can_register =
-        response->status == ok && report.load && report.load->slots > 0 && can_rely_on_deregistrations;
+    const bool can_register = response->status == ok && !report.notice.is_leaving && report.load &&
+                              report.load->slots > 0 && can_rely_on_deregistrations;
     if (can_register && this->registry.register_responding(report.upstream, report.load->slots, this->loop->now()))
     {
         this->set_slots(report.load->slots);
@@ -256,6 +255,10 @@
         return;
     }
     const bool is_current = report.upstream.empty() || report.upstream == current.instance.id;
+    if (is_current)
+    {
+        this->handle_notice(report.notice, "status check");
+    }
     this->set_down(!is_current, is_current ? "upstream responded to the status check"
                                            : "another upstream responded to the status check");
 }
@@ -299,6 +302,11 @@
 
 void upstream_task::handle_notice(const node::upstream_notice& notice, std::string_view source)
 {
+    if (notice.is_leaving)
+    {
+        this->registry.on_leaving();
+        this->update("upstream stated that it leaves");
+    }
     if (notice.max_request_rate == this->max_rate)
     {
         return;
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -43,6 +43,7 @@
         int health_status{200};            ///< of the upstream's responses to status checks
         int cancelled{0};                  ///< held requests whose connection the node has ended
         bool stopped{false};
+        bool is_leaving{false};      ///< the upstream states it in its responses
         bool holds_responses{false}; ///< the upstream does not respond to requests
         std::vector<std::shared_ptr<http::server_exchange>> held_exchanges{};
     };
@@ -129,7 +130,12 @@
                                  }});
             return;
         }
-        http::respond(*exchange, {.status = target.status}, "done");
+        http::response_header header{.status = target.status};
+        if (target.is_leaving)
+        {
+            header.fields.add(leaving_field, "1");
+        }
+        http::respond(*exchange, std::move(header), "done");
     }
 
     void start(member& target)
@@ -254,6 +260,20 @@
     }
 
   private:
+    static constexpr const char* leaving_field = "Test-Leaving";
+
+    static node::call_protocol make_protocol()
+    {
+        auto protocol = node::default_call_protocol();
+        protocol.classify_response = [classify = protocol.classify_response](const auto& response, const auto& request)
+        {
+            auto verdict = classify(response, request);
+            verdict.notice.is_leaving = response.fields.find(leaving_field) != nullptr;
+            return verdict;
+        };
+        return protocol;
+    }
+
     static core::socket_address free_address()
     {
         const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -302,7 +322,7 @@
                 .configuration_kind = "configuration",
                 .configuration_name = "all",
                 .read_configuration = parse_configuration,
-                .protocol = node::default_call_protocol(),
+                .protocol = make_protocol(),
                 .read_request = [this](const http::request_header&) -> std::optional<caller_request> {
                     return caller_request{"r" + std::to_string(++this->request), std::nullopt};
                 },
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -55,6 +55,35 @@
     LONGS_EQUAL(before, first.executed.size());
 }
 
+// A heartbeat may be seconds late. An upstream that states in its responses that it leaves must get no more work from
+// any node, also when a heartbeat from before says that it is ready; the next instance must get work again.
+TEST(mesh_node, an_upstream_that_states_that_it_leaves_gets_no_work)
+{
+    mesh::small_mesh mesh{{"orders", "orders"}};
+    mesh.configure("1 /o/=orders");
+    auto& first = *mesh.members[0];
+    auto& second = *mesh.members[1];
+    CHECK_FALSE(mesh.send_heartbeat(first));
+    CHECK_FALSE(mesh.send_heartbeat(second));
+    CHECK(mesh.eventually_responds(first, "/o/1", 200));
+    CHECK(mesh.eventually_responds(second, "/o/1", 200));
+    first.is_leaving = true;
+    const auto before = first.executed.size();
+    for (int request = 0; request < 20; ++request)
+    {
+        LONGS_EQUAL(200, mesh.call(first, "/o/1"));
+        LONGS_EQUAL(200, mesh.call(second, "/o/1"));
+    }
+    CHECK(first.executed.size() <= before + 1);
+    CHECK_FALSE(mesh.send_heartbeat(first));
+    const auto after = first.executed.size();
+    for (int request = 0; request < 20; ++request)
+    {
+        LONGS_EQUAL(200, mesh.call(first, "/o/1"));
+    }
+    LONGS_EQUAL(after, first.executed.size());
+}
+
 // A deregistration that is held only in memory is lost with the process; the restarted node would then send work to the
 // upstream again.
 TEST(mesh_node, a_deregistration_outlasts_the_process)
--- a/libs/node/include/poplarport/node/call_protocol.hpp
+++ b/libs/node/include/poplarport/node/call_protocol.hpp
@@ -41,6 +41,7 @@
 {
     /// Requests per second that it takes from all nodes together, until it no longer says so; empty for no limit.
     std::optional<double> max_request_rate{};
+    bool is_leaving{false}; ///< it is about to end and must get no new work
 };
 
 /// @brief Classification of an upstream's response by its header section.
--- a/libs/registration/include/poplarport/registration/registry.hpp
+++ b/libs/registration/include/poplarport/registration/registry.hpp
@@ -78,6 +78,11 @@
     /// @return an empty code, or `outdated` if another instance is current
     std::error_code on_deregistration(const upstream_instance& instance, core::time_point now);
 
+    /// @brief Processes a response in which the current instance states that it leaves.
+    ///
+    /// It may arrive seconds before the heartbeat that says the same; that heartbeat is still to be acknowledged.
+    void on_leaving();
+
     /// @brief Records a deregistration that was received from another source; ignored if one is held already.
     /// @param[in] instance the instance as formatted by to_string()
     void record_deregistration(const std::string& instance);
--- a/libs/registration/src/registry.cpp
+++ b/libs/registration/src/registry.cpp
@@ -89,6 +89,14 @@
     return {};
 }
 
+void registry::on_leaving()
+{
+    if (this->upstream.state == upstream_state::ready)
+    {
+        this->upstream.state = upstream_state::draining;
+    }
+}
+
 void registry::record_deregistration(const std::string& instance)
 {
     if (!this->last_deregistered.empty() || instance.empty())
--- a/libs/registration/tests/unit-registry.cpp
+++ b/libs/registration/tests/unit-registry.cpp
@@ -107,6 +107,25 @@
     CHECK(later_registry.current().state == upstream_state::draining);
 }
 
+// An instance that states in a response that it leaves drains before its heartbeat says so. The heartbeat must still be
+// recorded as its deregistration, and the next instance must be ready.
+TEST(registry, an_instance_that_states_that_it_leaves_drains)
+{
+    auto registry = make_registry();
+    registry.on_leaving();
+    CHECK(registry.current().state == upstream_state::unknown);
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 100, 1), start_time));
+    registry.on_leaving();
+    CHECK(registry.current().state == upstream_state::draining);
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 100, 2), start_time));
+    CHECK(registry.current().state == upstream_state::draining);
+    STRCMP_EQUAL("", registry.deregistered_instance().c_str());
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 100, 3, true), start_time));
+    STRCMP_EQUAL("i-1@100", registry.deregistered_instance().c_str());
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 200, 1), start_time));
+    CHECK(registry.current().state == upstream_state::ready);
+}
+
 // A status check must not replace a registered or deregistered instance, nor register an upstream without an id.
 TEST(registry, a_status_check_replaces_only_the_first_heartbeat)
 {
