Respond to every request at the end of a planned stop

Report of other operators: in a planned stop of one VM, requests that came late in the grace time were passed on and, at its end, cut with no response, among them requests that may not be repeated (LOST). It can happen here.

Cause: a call kept the time limit of its caller although the node would stop before, and the exit closed the connections of the calls in progress; requests in the queue of the node were cut in the same way, although they could have been refused as not run. Change: during a planned stop no call outlasts it; an attempt that the stop would probably interrupt (less than twice the usual latency of its route left) is refused as not run; the queue of the local upstream is emptied like that of a draining one; at the end of the grace time each call in progress ends as at its deadline, with 503 if it has not run and 504 if that is unknown. drain_finished tells how many there were.

--- a/libs/mesh/include/poplarport/mesh/entry.hpp
+++ b/libs/mesh/include/poplarport/mesh/entry.hpp
@@ -58,8 +58,12 @@
     /// @brief Applies a configuration to later requests.
     void apply(std::shared_ptr<const routes::route_table> new_table);
 
-    /// @brief Prepares a stop: every later response closes its connection.
-    void drain();
+    /// @brief Prepares a stop: every later response closes its connection, and no later call outlasts the stop.
+    /// @param[in] stop_time when the node stops
+    void drain(core::time_point stop_time);
+
+    /// @brief Ends the calls in progress; each caller receives a response that says whether its request may have run.
+    void end_calls();
 
     /// @brief Closes the connections that have no request in progress.
     void close_idle();
@@ -107,6 +111,7 @@
     measuring::class_durations latencies{}; ///< of answered calls, by route
     std::unordered_map<std::uint64_t, std::shared_ptr<node::call_driver>> calls{};
     std::uint64_t last_call_number{0};
+    std::optional<core::time_point> stops_at{}; ///< when the node stops, during a planned stop
     std::unique_ptr<http::server> server;
 };
 
--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -36,6 +36,9 @@
 constexpr int min_time_left_divisor = 2;
 constexpr std::chrono::milliseconds max_min_time_left{200};
 
+// During a planned stop, an attempt starts only if this multiple of the usual latency is left until the stop.
+constexpr int stop_time_factor = 2;
+
 // Fraction of the installation's retry budget that the nodes spend on retries that they start themselves. A retried
 // request makes its nested calls again; these are retries too, but the nodes that handle them cannot recognise them.
 constexpr double direct_retry_fraction = 0.35;
@@ -129,11 +132,21 @@
     this->server->set_limits(server_limits);
 }
 
-void entry::drain()
+void entry::drain(core::time_point stop_time)
 {
+    this->stops_at = stop_time;
     this->server->drain();
 }
 
+void entry::end_calls()
+{
+    const auto in_progress = this->calls;
+    for (const auto& [number, driver] : in_progress)
+    {
+        driver->expire();
+    }
+}
+
 void entry::close_idle()
 {
     this->server->close_idle();
@@ -208,6 +221,10 @@
     description.repeatable = route.repeatable;
     // After a pause of the process, the request may have waited for as long as the event loop is late.
     description.deadline = this->loop->now() + limit - this->loop->stall();
+    if (this->stops_at)
+    {
+        description.deadline = std::min(description.deadline, *this->stops_at);
+    }
     if (route.priority != 0)
     {
         // A retry by the caller has less time left than the maximum that the route has received.
@@ -231,6 +248,11 @@
     limits.hedge_budget_fraction = hedge_budget_fraction;
     limits.minimum_time_left =
         std::clamp<core::duration>(usual_latency / min_time_left_divisor, limits.minimum_time_left, max_min_time_left);
+    if (this->stops_at)
+    {
+        // A request that the stop would probably interrupt is refused instead; another node can serve it.
+        limits.minimum_time_left = std::max<core::duration>(limits.minimum_time_left, usual_latency * stop_time_factor);
+    }
     limits.attempts = std::max(route.attempts, 1U);
     limits.free_retries = free_retries;
     limits.redirects_after_shed = false;
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -321,7 +321,7 @@
         .with("calls_in_progress", static_cast<std::int64_t>(this->callers->calls_in_progress()))
         .write(observability::log_level::info);
     this->gossip->update([](membership::detector& detector, core::time_point now) { detector.drain(now); });
-    this->callers->drain();
+    this->callers->drain(this->drain_started + this->settings.stop_limit - exit_reserve);
     this->drain_timer.schedule(drain_check_interval);
 }
 
@@ -340,6 +340,7 @@
         this->callers->stop_listening();
         this->callers->close_idle();
         this->peers->drain();
+        this->upstream->receiver().drain();
     }
     const bool is_idle = callers_notified && this->callers->calls_in_progress() == 0 &&
                          this->callers->connection_count() == 0 && this->upstream->receiver().is_idle() &&
@@ -350,10 +351,13 @@
         return;
     }
     this->stopped = true;
+    const auto interrupted = this->callers->calls_in_progress();
+    this->callers->end_calls();
     observability::log_record{"drain_finished"}
         .with("node", this->settings.id)
         .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())
         .with("complete", is_idle ? "true" : "false")
+        .with("interrupted_calls", static_cast<std::int64_t>(interrupted))
         .write(is_idle ? observability::log_level::info : observability::log_level::warning);
     this->gossip->leave();
     this->drain_timer.schedule(leave_delay);
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -223,6 +223,41 @@
     CHECK(mesh.loop.now() - begin < 3s);
 }
 
+// Pattern: in a planned stop, requests arrive so late in the grace time that they cannot end in it. At its end their
+// connections must not be cut without a response, and a request that was not sent to the upstream must be reported as
+// not run.
+TEST(mesh_node, a_planned_stop_responds_to_every_request)
+{
+    mesh::small_mesh mesh{{"orders"}};
+    mesh.configure("1 /o/=orders");
+    auto& only = *mesh.members[0];
+    CHECK_FALSE(mesh.send_heartbeat(only));
+    CHECK(mesh.eventually_responds(only, "/o/1", 200));
+    only.holds_responses = true;
+    only.node->drain();
+    const auto begin = mesh.loop.now();
+    mesh.wait(2200ms);
+    constexpr std::size_t slots = 4;
+    constexpr std::size_t sent = slots + 2;
+    std::map<int, std::size_t> statuses;
+    std::vector<std::shared_ptr<http::client_connection>> connections;
+    for (std::size_t request = 0; request < sent; ++request)
+    {
+        connections.push_back(mesh.send(only, "/o/2", [&](int status) { ++statuses[status]; }));
+    }
+    mesh.run_until([&] { return only.stopped; });
+    only.node.reset();
+    CHECK(mesh.loop.now() - begin <= only.settings.stop_limit);
+    mesh.wait(50ms);
+    LONGS_EQUAL(slots, only.held_exchanges.size());
+    LONGS_EQUAL(slots, statuses[504]);
+    LONGS_EQUAL(sent - slots, statuses[503]);
+    for (const auto& each : connections)
+    {
+        each->abort();
+    }
+}
+
 // A request in the queue of a draining upstream must be refused at the drain limit instead of starting later. The limit
 // is a setting, shorter here than that of the first installations.
 TEST(mesh_node, waiting_requests_do_not_outlast_the_drain_limit)
--- a/libs/node/include/poplarport/node/call_driver.hpp
+++ b/libs/node/include/poplarport/node/call_driver.hpp
@@ -75,6 +75,10 @@
     /// @brief Starts the first attempt.
     void start();
 
+    /// @brief Ends the call as at its deadline: the caller receives a response that says whether the request may have
+    /// run.
+    void expire();
+
   private:
     struct slot
     {
@@ -104,6 +108,7 @@
     void release_buffered(attempts::attempt_id id);
     [[nodiscard]] std::optional<attempts::attempt_id> failed_response() const;
     void handle_timer();
+    void advance(core::time_point now);
     void push_event(attempts::attempt_id id, attempts::attempt_event event);
     void process_events();
     void report_sent(attempts::attempt_id id);
--- a/libs/node/src/call_driver.cpp
+++ b/libs/node/src/call_driver.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/node/call_driver.hpp"
 
-#include <algorithm> // ranges::any_of, ranges::find_if
+#include <algorithm> // max, ranges::any_of, ranges::find_if
 #include <utility>   // exchange, move
 #include <variant>   // visit
 
@@ -272,11 +272,21 @@
 }
 
 void call_driver::handle_timer()
+{
+    this->advance(this->loop->now());
+}
+
+void call_driver::expire()
+{
+    this->advance(std::max(this->description.deadline, this->loop->now()));
+}
+
+void call_driver::advance(core::time_point now)
 {
     const auto self = this->shared_from_this();
     this->report_all_sent();
     this->processing = true;
-    this->execute(this->call.tick(this->loop->now()));
+    this->execute(this->call.tick(now));
     this->processing = false;
     this->process_events();
 }
