Report a request as not run only if the refusal is certain to be its own

Report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that it executed (REFUSED), or such a request was executed at a second upstream (TWICE).

The pool does not use a connection again for a request that was refused on it.

--- a/libs/http/include/poplarport/http/client_pool.hpp
+++ b/libs/http/include/poplarport/http/client_pool.hpp
@@ -4,6 +4,8 @@
 #include <cstddef>       // size_t
 #include <memory>        // shared_ptr
 #include <optional>      // optional
+#include <string>        // string
+#include <string_view>   // string_view
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
 
@@ -36,11 +38,15 @@
     client_pool(net::event_loop& loop, core::socket_address address, const limits& pool_limits);
 
     /// @brief Returns the most recently used idle connection, or starts a new one.
+    /// @param[in] request id of the request, empty for none. A connection on which it was refused before is not
+    ///                    returned: a second copy of that refusal would be taken for the response to this attempt.
     /// @return the connection, or nullptr when the connection limit is reached
-    [[nodiscard]] std::shared_ptr<client_connection> acquire();
+    [[nodiscard]] std::shared_ptr<client_connection> acquire(std::string_view request = {});
 
     /// @brief Returns a connection to the pool; one that cannot be reused is closed.
-    void release(const std::shared_ptr<client_connection>& connection);
+    /// @param[in] connection      the connection
+    /// @param[in] refused_request id of the request that the server has refused on it, empty for none
+    void release(const std::shared_ptr<client_connection>& connection, std::string_view refused_request = {});
 
     /// @brief Changes the connection limit; connections in use above the new limit stay open until they are released.
     void set_connection_limit(std::size_t connections) noexcept;
@@ -53,6 +59,7 @@
     {
         std::shared_ptr<client_connection> connection;
         core::time_point idle_since;
+        std::vector<std::string> refused_requests{};
     };
 
     [[nodiscard]] bool is_stale(const idle_connection& candidate, core::time_point now) const;
@@ -62,6 +69,7 @@
     {
         core::time_point started_at;
         core::duration idle_time{0};
+        std::vector<std::string> refused_requests{};
     };
 
     net::event_loop* loop;
--- a/libs/http/src/client_pool.cpp
+++ b/libs/http/src/client_pool.cpp
@@ -1,7 +1,8 @@
 #include "poplarport/http/client_pool.hpp"
 
-#include <algorithm> // max
+#include <algorithm> // find_if, max, ranges::find
 #include <chrono>    // milliseconds, seconds
+#include <iterator>  // next
 #include <utility>   // move
 
 namespace poplarport::http
@@ -22,6 +23,9 @@
 constexpr int idle_limit_divisor = 4;
 constexpr std::chrono::milliseconds min_estimated_idle_limit{50};
 
+// A connection is closed after more refusals, so that the list of refused requests stays short.
+constexpr std::size_t max_refused_requests = 32;
+
 // An estimate expires after this time without another drop.
 constexpr std::chrono::seconds estimate_lifetime{10};
 
@@ -32,34 +36,52 @@
 {
 }
 
-std::shared_ptr<client_connection> client_pool::acquire()
+std::shared_ptr<client_connection> client_pool::acquire(std::string_view request)
 {
     const auto now = this->loop->now();
     std::erase_if(this->idle, [&](const idle_connection& candidate) { return this->is_stale(candidate, now); });
-    if (!this->idle.empty())
+    // The most recently used connection is the least likely to have been closed by the server.
+    const auto found = std::find_if(
+        this->idle.rbegin(), this->idle.rend(),
+        [request](const idle_connection& candidate)
+        { return std::ranges::find(candidate.refused_requests, request) == candidate.refused_requests.end(); });
+    if (found != this->idle.rend())
     {
-        // The most recently used connection is the least likely to have been closed by the server.
-        auto connection = std::move(this->idle.back().connection);
-        this->reused[connection.get()] = {now, now - this->idle.back().idle_since};
-        this->idle.pop_back();
+        auto selected = std::move(*found);
+        this->idle.erase(std::next(found).base());
+        this->reused[selected.connection.get()] = {now, now - selected.idle_since,
+                                                   std::move(selected.refused_requests)};
         ++this->in_use;
-        return connection;
+        return selected.connection;
     }
     if (this->in_use >= this->active_limits.connections)
     {
         return nullptr;
     }
+    if (this->size() >= this->active_limits.connections)
+    {
+        this->idle.erase(this->idle.begin());
+    }
     ++this->in_use;
     return client_connection::connect(*this->loop, this->target, this->active_limits.connect_timeout);
 }
 
-void client_pool::release(const std::shared_ptr<client_connection>& connection)
+void client_pool::release(const std::shared_ptr<client_connection>& connection, std::string_view refused_request)
 {
     --this->in_use;
+    std::vector<std::string> refused_requests;
+    if (const auto found = this->reused.find(connection.get()); found != this->reused.end())
+    {
+        refused_requests = std::move(found->second.refused_requests);
+    }
+    if (!refused_request.empty())
+    {
+        refused_requests.emplace_back(refused_request);
+    }
     this->estimate_idle_limit(*connection, this->loop->now());
-    if (connection->is_reusable())
+    if (connection->is_reusable() && refused_requests.size() <= max_refused_requests)
     {
-        this->idle.push_back({connection, this->loop->now()});
+        this->idle.push_back({connection, this->loop->now(), std::move(refused_requests)});
         return;
     }
     connection->abort();
--- a/libs/http/tests/unit-client_pool.cpp
+++ b/libs/http/tests/unit-client_pool.cpp
@@ -96,6 +96,30 @@
     LONGS_EQUAL(2, requests.size());
 }
 
+// A server may write an earlier refusal once more where the next response is due. If the refused request is sent again
+// on that connection, the copy counts as the response to it, although the server executes it.
+TEST(client_pool, a_refused_request_is_not_repeated_on_the_same_connection)
+{
+    const auto first = this->pool.acquire("r1");
+    this->pool.release(first, "r1");
+    const auto other = this->pool.acquire("r2");
+    POINTERS_EQUAL(first.get(), other.get());
+    this->pool.release(other);
+    const auto repeated = this->pool.acquire("r1");
+    CHECK(repeated != first);
+    this->pool.release(repeated);
+    LONGS_EQUAL(2, this->pool.size());
+    // At the connection limit, a connection of no use makes room for a new one.
+    this->pool.set_connection_limit(2);
+    const auto in_use = this->pool.acquire("r3");
+    POINTERS_EQUAL(repeated.get(), in_use.get());
+    const auto second_repeat = this->pool.acquire("r1");
+    CHECK(second_repeat != nullptr && second_repeat != first);
+    LONGS_EQUAL(2, this->pool.size());
+    this->pool.release(in_use);
+    this->pool.release(second_repeat);
+}
+
 // An upstream that silently drops idle connections causes one failed request after the other, unless the pool reuses
 // connections for a shorter time after the first failure.
 TEST(client_pool, a_dropped_connection_shortens_the_idle_limit)
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -41,7 +41,7 @@
                    errc::upstream_slowed);
         return;
     }
-    this->connection = this->owner->pool->acquire();
+    this->connection = this->owner->pool->acquire(this->call.id);
     if (!this->connection)
     {
         this->fail(attempts::refused{attempts::refusal_proof::upstream_not_contacted,
@@ -271,7 +271,7 @@
     {
         closing->abort();
     }
-    this->owner->pool->release(closing);
+    this->owner->pool->release(closing, this->refusal_reason ? std::string_view{this->call.id} : std::string_view{});
 }
 
 void local_channel::send_body(std::string_view bytes)
--- a/libs/node/tests/unit-receiver.cpp
+++ b/libs/node/tests/unit-receiver.cpp
@@ -1,10 +1,12 @@
 #include <chrono>   // milliseconds, seconds
 #include <memory>   // make_unique, unique_ptr
 #include <optional> // optional
-#include <variant>  // get_if
+#include <variant>  // get_if, holds_alternative
 #include <vector>   // vector
 
 #include "poplarport/http/server.hpp"
+#include "poplarport/net/listener.hpp"
+#include "poplarport/net/stream_socket.hpp"
 #include "poplarport/net/timer.hpp"
 #include "poplarport/node/errors.hpp"
 #include "poplarport/node/receiver.hpp"
@@ -17,6 +19,47 @@
 namespace
 {
 
+// An upstream that refuses its first request, and whose first connection then gets a second copy of that refusal where
+// the next response is due.
+class repeating_upstream
+{
+  public:
+    explicit repeating_upstream(net::event_loop& loop)
+        : listener(loop, {"127.0.0.1", 0},
+                   [this](std::unique_ptr<net::stream_socket> accepted)
+                   {
+                       auto* const socket = this->sockets.emplace_back(std::move(accepted)).get();
+                       const bool is_first = this->sockets.size() == 1;
+                       socket->set_hooks({.on_connected = {},
+                                          .on_bytes = [this, socket, is_first](std::string_view)
+                                          { this->respond(*socket, is_first); },
+                                          .on_drained = {},
+                                          .on_closed = {}});
+                   })
+    {
+    }
+
+    [[nodiscard]] core::socket_address address() const
+    {
+        return this->listener.address();
+    }
+
+    int executed{0};
+
+  private:
+    void respond(net::stream_socket& socket, bool repeats_refusal)
+    {
+        this->executed += this->requests++ == 0 ? 0 : 1;
+        socket.send(repeats_refusal ? "HTTP/1.1 503 Service Unavailable\r\nPoplar-Not-Run: true\r\nContent-Length: "
+                                      "0\r\n\r\n"
+                                    : "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+    }
+
+    std::vector<std::unique_ptr<net::stream_socket>> sockets{};
+    int requests{0};
+    net::listener listener;
+};
+
 // A receiver with a peer that can serve a request within a given time.
 struct receiver_with_peer
 {
@@ -38,6 +81,11 @@
                                                                     http::respond(*exchange, {.status = 200}, "done");
                                                                 })
                                                             .build(this->loop));
+        this->use_upstream(this->upstream->address());
+    }
+
+    void use_upstream(const core::socket_address& address)
+    {
         node::receiver_limits limits;
         limits.slots = 4;
         limits.queue_length = 4;
@@ -52,8 +100,7 @@
                                         return is_faster ? std::vector<core::node_id>{"n2"}
                                                          : std::vector<core::node_id>{};
                                     }};
-        this->tested = std::make_unique<node::receiver>(this->loop, this->upstream->address(), this->protocol, limits,
-                                                        std::move(hooks));
+        this->tested = std::make_unique<node::receiver>(this->loop, address, this->protocol, limits, std::move(hooks));
     }
 
     // Offers a request; returns its refusal, or nothing if the upstream executed it.
@@ -100,6 +147,21 @@
 
 TEST_GROUP(receiver){};
 
+// An upstream writes an earlier refusal once more on a kept connection while it executes the refused request's second
+// attempt. The attempt must not be reported as not run.
+TEST(receiver, a_repeated_refusal_does_not_deny_that_the_request_was_executed)
+{
+    receiver_with_peer system;
+    repeating_upstream upstream{system.loop};
+    system.use_upstream(upstream.address());
+    const auto refusal = system.offer();
+    CHECK(refusal && refusal->reason == node::errc::upstream_shed);
+    LONGS_EQUAL(0, upstream.executed);
+    const auto second = system.offer();
+    LONGS_EQUAL(1, upstream.executed);
+    CHECK_FALSE(second && std::holds_alternative<attempts::refused>(second->event));
+}
+
 // Pattern: all nodes have just started, and a quarter of the VMs are slow. A request that starts on a slow VM stays
 // slow to its end, so it must go to a faster peer although no service time has been measured yet.
 TEST(receiver, the_first_request_is_not_started_on_a_slow_vm)
