--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // ranges::all_of, ranges::count_if
 #include <charconv>   // from_chars
 #include <functional> // function
+#include <map>        // map
 #include <memory>     // unique_ptr
 #include <string>     // string
 #include <vector>     // vector
