--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -155,6 +155,7 @@
     std::ranges::sort(ranked, std::greater{});
     ranked.resize(std::min(ranked.size(), watcher_count + max_replacements));
     std::vector<core::node_id> result;
+    result.reserve(ranked.size());
     for (auto& each : ranked)
     {
         result.push_back(std::move(each.second));
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -266,9 +266,9 @@
     static node::call_protocol make_protocol()
     {
         auto protocol = node::default_call_protocol();
-        protocol.classify_response = [classify = protocol.classify_response](const auto& response, const auto& request)
+        protocol.classify_response = [classify = protocol.classify_response](const auto& response, const auto& sent)
         {
-            auto verdict = classify(response, request);
+            auto verdict = classify(response, sent);
             verdict.notice.is_leaving = response.fields.find(leaving_field) != nullptr;
             return verdict;
         };
--- a/libs/node/tests/unit-document_pull.cpp
+++ b/libs/node/tests/unit-document_pull.cpp
@@ -23,10 +23,10 @@
     {
         name = name * 6364136223846793005U + 1442695040888963407U;
         const auto word = std::to_string(name >> 40U);
-        document.content +=
-            R"({"name":"r-)" + word +
-            R"(","kind":"non_idempotent","target_latency":"250ms","priority":1,"match":{"path_prefix":"/p)" + word +
-            R"(/"},"action":{"service":"huvo11a","timeout":"1000ms","max_attempts":2}},)";
+        document.content.append(R"({"name":"r-)").append(word);
+        document.content.append(R"(","kind":"non_idempotent","target_latency":"250ms","priority":1,"match":)");
+        document.content.append(R"({"path_prefix":"/p)").append(word);
+        document.content.append(R"(/"},"action":{"service":"huvo11a","timeout":"1000ms","max_attempts":2}},)");
     }
     document.content += "{}]}";
     return document;
