--- a/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
+++ b/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
@@ -101,7 +101,7 @@
     core::time_point next_rank_check{core::time_point::max()};
     core::duration poll_interval;
     core::duration failure_delay;
-    bool is_idle{false}; ///< another member's change of rank is awaited
+    bool is_idle{false};    ///< another member's change of rank is awaited
     bool is_polling{false}; ///< the next step is another read, after a read that may have found no configuration
     bool had_peers{false};
     bool has_revision{false}; ///< a read has returned the revision from which a watch continues
--- a/libs/configuration/tests/unit-watch_schedule.cpp
+++ b/libs/configuration/tests/unit-watch_schedule.cpp
@@ -68,8 +68,8 @@
     CHECK(schedule.tick(true, true, now + 1s) == watch_step::watch);
 }
 
-// A node that has pulled its first configuration still has a read scheduled, seconds later. It must not wait for it when
-// it becomes a watcher.
+// A node that has pulled its first configuration still has a read scheduled, seconds later. It must not wait for it
+// when it becomes a watcher.
 TEST(watch_schedule, a_scheduled_read_does_not_delay_a_new_watcher)
 {
     std::mt19937_64 random{1};
