Report pauses of the load tool, and judge the calls that they do not affect

Cause: a pause of poplar-load itself makes the calls late that are due in it, and the calls that became overdue then start at once and make others late. The test counted both against the system. Change: poplar-load records when it starts a call more than 50 ms late, prints and reports its pauses, and summarises the calls that were neither due nor in progress in a pause or while the overdue calls were in progress.

--- a/apps/poplar-load/run_command.cpp
+++ b/apps/poplar-load/run_command.cpp
@@ -93,7 +93,7 @@
     calls.start();
     loop.run();
     progress.finish();
-    const auto result = summarise(request.run_plan, calls.samples());
+    const auto result = summarise(request.run_plan, calls.samples(), calls.pauses());
     std::cout << to_text(result);
     const bool json_written = write_file(request.json_report, to_json(result));
     const bool svg_written = write_file(request.svg_report, to_svg(result));
--- a/libs/load/include/poplarport/load/report.hpp
+++ b/libs/load/include/poplarport/load/report.hpp
@@ -55,10 +55,15 @@
     std::vector<group_summary> phases{};
     std::vector<group_summary> groups{}; ///< by tenant and kind
     std::vector<second_summary> seconds{};
+    /// Calls that were neither due nor in progress during a pause of the load tool, or while the calls that became
+    /// overdue in it were in progress.
+    group_summary undisturbed{};
+    std::vector<run_pause> pauses{};
 };
 
 /// @return the report of a run
-[[nodiscard]] report summarise(const plan& run_plan, const std::vector<call_sample>& samples);
+[[nodiscard]] report summarise(const plan& run_plan, const std::vector<call_sample>& samples,
+                               const std::vector<run_pause>& pauses);
 
 /// @brief Counts latencies in buckets whose upper bounds grow by a factor of the fourth root of two.
 ///
--- a/libs/load/include/poplarport/load/runner.hpp
+++ b/libs/load/include/poplarport/load/runner.hpp
@@ -25,6 +25,13 @@
     bool body_mismatch{false};
 };
 
+/// @brief A time in which the load tool itself did not run, for example because its VM was busy.
+struct run_pause
+{
+    std::chrono::microseconds begin{0}; ///< from the start of the run
+    std::chrono::microseconds end{0};
+};
+
 /// @brief Progress of a run.
 struct run_progress
 {
@@ -59,6 +66,9 @@
     /// @return the calls that have ended so far
     [[nodiscard]] const std::vector<call_sample>& samples() const noexcept;
 
+    /// @return the pauses of this process so far, in order
+    [[nodiscard]] const std::vector<run_pause>& pauses() const noexcept;
+
     /// @return the current progress of the run
     [[nodiscard]] run_progress progress() const;
 
--- a/libs/load/src/report.cpp
+++ b/libs/load/src/report.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/load/report.hpp"
 
-#include <algorithm> // sort
+#include <algorithm> // max, ranges::any_of, sort
 #include <cmath>     // ceil, exp2, log2
 #include <iomanip>   // fixed, setprecision, setw
 #include <map>       // map
@@ -62,6 +62,30 @@
     return result;
 }
 
+// After a pause, the calls that were due meanwhile start at once; their number disturbs other calls until they end.
+std::vector<run_pause> disturbances_of(const std::vector<run_pause>& pauses, const std::vector<call_sample>& samples)
+{
+    auto result = pauses;
+    for (auto& each : result)
+    {
+        const auto pause = each;
+        for (const auto& sample : samples)
+        {
+            if (sample.offset >= pause.begin && sample.offset <= pause.end)
+            {
+                each.end = std::max(each.end, sample.offset + sample.latency);
+            }
+        }
+    }
+    return result;
+}
+
+bool is_disturbed(const call_sample& sample, const std::vector<run_pause>& disturbances)
+{
+    return std::ranges::any_of(disturbances, [&sample](const run_pause& each)
+                               { return sample.offset <= each.end && sample.offset + sample.latency >= each.begin; });
+}
+
 double to_ms(microseconds duration)
 {
     return fractional_milliseconds{duration}.count();
@@ -110,9 +134,10 @@
 
 } // namespace
 
-report summarise(const plan& run_plan, const std::vector<call_sample>& samples)
+report summarise(const plan& run_plan, const std::vector<call_sample>& samples, const std::vector<run_pause>& pauses)
 {
     report result;
+    result.pauses = pauses;
     result.name = run_plan.name;
     for (const auto& planned_phase : run_plan.phases)
     {
@@ -125,9 +150,14 @@
             result.groups.push_back({.tenant = planned_tenant.name, .kind = kind.name()});
         }
     }
+    const auto disturbances = disturbances_of(pauses, samples);
     for (const auto& sample : samples)
     {
         add_sample(result.total, sample);
+        if (!is_disturbed(sample, disturbances))
+        {
+            add_sample(result.undisturbed, sample);
+        }
         add_sample(result.phases[sample.phase], sample);
         add_sample(result.groups[sample.tenant * run_plan.calls.size() + sample.kind], sample);
     }
@@ -136,6 +166,7 @@
         std::sort(group.latencies.begin(), group.latencies.end());
     };
     sort_latencies(result.total);
+    sort_latencies(result.undisturbed);
     std::for_each(result.phases.begin(), result.phases.end(), sort_latencies);
     std::for_each(result.groups.begin(), result.groups.end(), sort_latencies);
     result.seconds = summarise_seconds(samples);
@@ -168,6 +199,16 @@
     text << "group                               calls answered  not_run  unknown  refused mismatch"
             "      p50      p90      p99    p99.9      max\n";
     write_row(text, run_report.total);
+    if (!run_report.pauses.empty())
+    {
+        microseconds paused{0};
+        for (const auto& each : run_report.pauses)
+        {
+            paused += each.end - each.begin;
+        }
+        text << "the load tool did not run for " << to_ms(paused) << " ms in " << run_report.pauses.size()
+             << " pauses; " << run_report.undisturbed.calls() << " calls were not affected\n";
+    }
     if (run_report.phases.size() > 1)
     {
         for (const auto& group : run_report.phases)
@@ -203,8 +244,15 @@
                            {"p50_ms", to_ms(entry.p50)},
                            {"p99_ms", to_ms(entry.p99)}});
     }
+    nlohmann::json pauses = nlohmann::json::array();
+    for (const auto& each : run_report.pauses)
+    {
+        pauses.push_back({{"begin_ms", to_ms(each.begin)}, {"end_ms", to_ms(each.end)}});
+    }
     const nlohmann::json object{{"name", run_report.name},
                                 {"total", to_object(run_report.total)},
+                                {"undisturbed", to_object(run_report.undisturbed)},
+                                {"pauses", pauses},
                                 {"phases", phases},
                                 {"groups", groups},
                                 {"seconds", seconds}};
--- a/libs/load/src/runner.cpp
+++ b/libs/load/src/runner.cpp
@@ -97,8 +97,10 @@
     [[nodiscard]] run_progress progress() const;
 
     std::vector<call_sample> samples{};
+    std::vector<run_pause> pauses{};
 
   private:
+    void record_start(microseconds due);
     void start_due_calls();
     [[nodiscard]] call_pointer make_call(const arrival& due);
     void fill_request(call& new_call);
@@ -177,11 +179,30 @@
     this->check_done();
 }
 
+// A call that starts much too late shows that the process did not run. Calls that were in progress or due meanwhile
+// appear late, whoever served them.
+void runner::state::record_start(microseconds due)
+{
+    constexpr milliseconds max_delay{50};
+    const auto elapsed = duration_cast<microseconds>(this->loop->now() - this->start_time);
+    if (elapsed - due <= max_delay)
+    {
+        return;
+    }
+    if (!this->pauses.empty() && due <= this->pauses.back().end)
+    {
+        this->pauses.back().end = elapsed;
+        return;
+    }
+    this->pauses.push_back({due, elapsed});
+}
+
 void runner::state::start_due_calls()
 {
     while (this->next_arrival && this->start_time + this->next_arrival->offset <= this->loop->now())
     {
         const auto due = *this->next_arrival;
+        this->record_start(duration_cast<microseconds>(due.offset));
         this->next_arrival = this->arrivals.next();
         this->start_call(this->make_call(due));
     }
@@ -418,6 +439,11 @@
     return this->data->samples;
 }
 
+const std::vector<run_pause>& runner::pauses() const noexcept
+{
+    return this->data->pauses;
+}
+
 run_progress runner::progress() const
 {
     return this->data->progress();
--- a/libs/load/tests/unit-runner.cpp
+++ b/libs/load/tests/unit-runner.cpp
@@ -1,6 +1,7 @@
 #include <chrono> // milliseconds
 #include <memory> // make_unique, shared_ptr, unique_ptr
 #include <string> // string
+#include <thread> // this_thread::sleep_for
 #include <vector> // vector
 
 #include "poplarport/http/server.hpp"
@@ -230,3 +231,34 @@
     CHECK_EQUAL(10U, calls.samples().size());
     CHECK(calls.samples().back().latency >= 10 * 30ms - 90ms);
 }
+
+// A pause of the load tool that it does not notice counts against the system under test.
+TEST(runner, a_pause_of_the_process_is_recorded)
+{
+    net::event_loop loop;
+    const response_case correct = cases.front();
+    const auto server =
+        http::server::builder{}
+            .listen_on({"127.0.0.1", 0})
+            .on_request([&](const std::shared_ptr<http::server_exchange>& exchange) { respond(exchange, correct); })
+            .build(loop);
+    const auto run_plan = make_plan(server.address());
+    load::call_ledger ledger{{}};
+    load::runner calls{loop, run_plan, ledger,
+                       [&loop]
+                       {
+                           loop.stop();
+                       }};
+    static constexpr auto pause = 200ms;
+    net::timer blocker{loop, []
+                       {
+                           std::this_thread::sleep_for(pause);
+                       }};
+    blocker.schedule(25ms);
+    calls.start();
+    loop.run();
+    CHECK_EQUAL(1U, calls.pauses().size());
+    const auto& recorded = calls.pauses().front();
+    CHECK(recorded.begin >= 15ms && recorded.begin <= 45ms);
+    CHECK(recorded.end - recorded.begin >= pause - 20ms);
+}
--- a/tests/prove/overload/report.hpp
+++ b/tests/prove/overload/report.hpp
@@ -25,6 +25,14 @@
         return total["answered"].get<double>() / total["calls"].get<double>();
     }
 
+    /// @return this report without the calls that were due or in progress while poplar-load itself did not run
+    [[nodiscard]] report without_pauses() const
+    {
+        auto result = *this;
+        result.content["total"] = this->content["undisturbed"];
+        return result;
+    }
+
     [[nodiscard]] double calls() const
     {
         return this->content["total"]["calls"].get<double>();
