Send no work to an upstream before its first response to a restarted node

Callers of other nodes reach an upstream through the node beside it. When that node was restarted, it passed requests on until the first response told the limit that the upstream had named long before, or that it leaves (LIMIT, DRAIN).

Cause: the limit and the statement that the upstream leaves are known from responses alone, and a heartbeat, or a status check that registers the upstream, let requests start before one had been read. A heartbeat may be late and say that the upstream is ready. Change: an instance accepts work once it has responded to a status check of this node. Services without a path for status checks are not checked.

--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -84,6 +84,7 @@
     void set_slots(std::uint32_t new_slots);
     void check();
     void refresh(std::function<void()> done);
+    void check_new_instance();
     void start_check();
     void finish_load_requests();
     void handle_check(const http::response_header* response);
@@ -91,6 +92,7 @@
     void handle_notice(const node::upstream_notice& notice, std::string_view source);
     void handle_failed_check();
     void set_down(bool down, std::string_view reason);
+    [[nodiscard]] bool awaits_response() const;
     void update(std::string_view reason);
     void notify_deregistered(const std::function<void(std::error_code)>& acknowledge);
 
@@ -107,6 +109,7 @@
     std::optional<double> max_rate{}; ///< requests per second that the upstream takes, as it stated last
     int failed_checks{0};
     bool is_down{false};
+    bool has_responded{false}; ///< the current instance has responded to a status check
     bool is_accepting{false};
     bool is_checking{false};
     std::vector<std::function<void()>> load_requests{};
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -111,6 +111,8 @@
 {
     this->service = new_service;
     this->local_receiver->apply(this->limits());
+    this->update("configuration");
+    this->check_new_instance();
 }
 
 void upstream_task::set_slots(std::uint32_t new_slots)
@@ -143,11 +145,15 @@
     }
     if (this->registry.current().instance != instance_before)
     {
+        // An instance that was registered by a status check has no start time before its first heartbeat.
+        const bool is_known = heartbeat.instance.id == instance_before.id && instance_before.started_at_ms == 0;
+        this->has_responded = this->has_responded && is_known;
         this->set_down(false, "announced");
     }
     this->set_slots(heartbeat.slots);
     this->local_receiver->set_upstream(heartbeat.instance.id);
     this->update("announcement");
+    this->check_new_instance();
     if (this->registry.deregistered_instance() != deregistered_before)
     {
         this->notify_deregistered(acknowledge);
@@ -187,13 +193,23 @@
     const auto age = this->local_receiver->load_age();
     const bool is_recent = age && *age < check_interval;
     const bool has_deregistered = this->registry.current().state == registration::upstream_state::left;
-    if (this->service.health_path.empty() || this->is_checking || has_deregistered || (is_recent && !this->is_down))
+    const bool is_needless = is_recent && !this->is_down && !this->awaits_response();
+    if (this->service.health_path.empty() || this->is_checking || has_deregistered || is_needless)
     {
         return;
     }
     this->start_check();
 }
 
+void upstream_task::check_new_instance()
+{
+    const bool is_ready = this->registry.current().state == registration::upstream_state::ready;
+    if (is_ready && this->awaits_response() && !this->service.health_path.empty() && !this->is_checking)
+    {
+        this->start_check();
+    }
+}
+
 void upstream_task::refresh(std::function<void()> done)
 {
     this->load_requests.push_back(std::move(done));
@@ -251,6 +267,8 @@
     {
         this->set_slots(report.load->slots);
         this->local_receiver->set_upstream(current.instance.id);
+        this->handle_notice(report.notice, "status check");
+        this->has_responded = true;
         this->update("status check");
         return;
     }
@@ -258,6 +276,8 @@
     if (is_current)
     {
         this->handle_notice(report.notice, "status check");
+        this->has_responded = true;
+        this->update("upstream responded to the status check");
     }
     this->set_down(!is_current, is_current ? "upstream responded to the status check"
                                            : "another upstream responded to the status check");
@@ -281,9 +301,17 @@
     this->update(reason);
 }
 
+// The node may have been restarted: only a response tells the limit that the upstream has named, and whether it leaves.
+bool upstream_task::awaits_response() const
+{
+    const bool can_check = !this->service.health_path.empty() || this->service.name.empty();
+    return can_check && !this->has_responded;
+}
+
 void upstream_task::update(std::string_view reason)
 {
-    const bool accepts = this->registry.current().state == registration::upstream_state::ready && !this->is_down;
+    const bool is_ready = this->registry.current().state == registration::upstream_state::ready;
+    const bool accepts = is_ready && !this->is_down && !this->awaits_response();
     if (accepts == this->is_accepting)
     {
         return;
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -5,7 +5,9 @@
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // unique_ptr
-#include <string>     // string
+#include <optional>   // nullopt, optional
+#include <string>     // stod, string, to_string
+#include <utility>    // move
 #include <vector>     // vector
 
 #include <CppUTest/TestHarness.h>
@@ -44,8 +46,10 @@
         int health_status{200};            ///< of the upstream's responses to status checks
         int cancelled{0};                  ///< held requests whose connection the node has ended
         bool stopped{false};
-        bool is_leaving{false};      ///< the upstream states it in its responses
-        bool holds_responses{false}; ///< the upstream does not respond to requests
+        bool is_leaving{false};                   ///< the upstream states it in its responses
+        std::optional<double> max_request_rate{}; ///< the upstream states it in its responses
+        bool states_in_checks{false};             ///< the upstream states these in its responses to status checks, too
+        bool holds_responses{false};              ///< the upstream does not respond to requests
         std::vector<std::shared_ptr<http::server_exchange>> held_exchanges{};
     };
 
@@ -115,7 +119,12 @@
     {
         if (exchange->request().target == "/health")
         {
-            http::respond(*exchange, {.status = target.health_status}, "health");
+            http::response_header health{.status = target.health_status};
+            if (target.states_in_checks)
+            {
+                small_mesh::add_notice(target, health);
+            }
+            http::respond(*exchange, std::move(health), "health");
             return;
         }
         target.executed.push_back(exchange->request().target);
@@ -132,10 +141,7 @@
             return;
         }
         http::response_header header{.status = target.status};
-        if (target.is_leaving)
-        {
-            header.fields.add(leaving_field, "1");
-        }
+        small_mesh::add_notice(target, header);
         http::respond(*exchange, std::move(header), "done");
     }
 
@@ -262,6 +268,26 @@
 
   private:
     static constexpr const char* leaving_field = "Test-Leaving";
+    static constexpr const char* limit_field = "Test-Limit";
+
+    static void add_notice(const member& stating, http::response_header& header)
+    {
+        if (stating.is_leaving)
+        {
+            header.fields.add(leaving_field, "1");
+        }
+        if (stating.max_request_rate)
+        {
+            header.fields.add(limit_field, std::to_string(*stating.max_request_rate));
+        }
+    }
+
+    static node::upstream_notice read_notice(const http::response_header& header)
+    {
+        const auto* const limit = header.fields.find(limit_field);
+        return {limit == nullptr ? std::nullopt : std::optional{std::stod(*limit)},
+                header.fields.find(leaving_field) != nullptr};
+    }
 
     static node::call_protocol make_protocol()
     {
@@ -269,7 +295,7 @@
         protocol.classify_response = [classify = protocol.classify_response](const auto& response, const auto& sent)
         {
             auto verdict = classify(response, sent);
-            verdict.notice.is_leaving = response.fields.find(leaving_field) != nullptr;
+            verdict.notice = small_mesh::read_notice(response);
             return verdict;
         };
         return protocol;
@@ -328,9 +354,9 @@
                     return caller_request{"r" + std::to_string(++this->request), std::nullopt};
                 },
                 .read_status =
-                    [](const http::response_header&)
+                    [](const http::response_header& header)
                 {
-                    return status_report{};
+                    return status_report{{}, std::nullopt, small_mesh::read_notice(header)};
                 }};
     }
 
--- a/libs/mesh/tests/unit-mesh_node.cpp
+++ b/libs/mesh/tests/unit-mesh_node.cpp
@@ -84,6 +84,47 @@
     LONGS_EQUAL(after, first.executed.size());
 }
 
+// A restarted node has forgotten the limit that its upstream has named and the statement that it leaves. A heartbeat
+// that says that the upstream is ready must not let the node send more work than the upstream takes.
+TEST(mesh_node, a_restarted_node_keeps_to_what_its_upstream_stated_before)
+{
+    struct statement_case
+    {
+        const char* name;
+        bool is_leaving;
+        std::optional<double> max_request_rate;
+        std::size_t max_executed; ///< within half a second
+    };
+    const statement_case cases[] = {{"leaving", true, std::nullopt, 0}, {"limited", false, 0.5, 1}};
+    for (const auto& each : cases)
+    {
+        mesh::small_mesh mesh{{"orders"}};
+        mesh.configure("1 /o/=orders");
+        auto& only = *mesh.members[0];
+        CHECK_FALSE(mesh.send_heartbeat(only));
+        CHECK(mesh.eventually_responds(only, "/o/1", 200));
+        only.is_leaving = each.is_leaving;
+        only.max_request_rate = each.max_request_rate;
+        only.states_in_checks = true;
+        mesh.kill(only);
+        only.executed.clear();
+        only.holds_responses = true;
+        mesh.start(only);
+        static_cast<void>(mesh.send_heartbeat(only));
+        std::vector<std::shared_ptr<http::client_connection>> connections;
+        for (int request = 0; request < 50; ++request)
+        {
+            connections.push_back(mesh.send(only, "/o/2", [](int) {}));
+            mesh.wait(10ms);
+        }
+        CHECK_TEXT(only.executed.size() <= each.max_executed, each.name);
+        for (const auto& connection : connections)
+        {
+            connection->abort();
+        }
+    }
+}
+
 // A deregistration that is held only in memory is lost with the process; the restarted node would then send work to the
 // upstream again.
 TEST(mesh_node, a_deregistration_outlasts_the_process)
