Report the time between the permitted starts of a limited upstream as its service time

Cause: the load report of a limited upstream had one slot and the usual service time, 60 ms, although a request can start there only every 50 to 110 ms. Senders expected a free slot long before there was one, also after the report had decayed, which takes one service time. Change: the reported service time is at least the time between two starts, times the reported slots.

--- a/libs/admission/include/poplarport/admission/gate.hpp
+++ b/libs/admission/include/poplarport/admission/gate.hpp
@@ -89,9 +89,14 @@
     /// @return the refused requests
     [[nodiscard]] std::vector<refusal> refuse_queued();
 
+    /// @return the minimum time between two starts, zero without a limit
+    [[nodiscard]] core::duration min_start_interval() const noexcept
+    {
+        return this->max_start_rate.interval();
+    }
+
     /// @return the load report to send with responses; `slots` is the current concurrency limit, or the concurrency
-    /// that
-    ///         the start rate permits if that is lower
+    ///         that the start rate permits if it is lower
     [[nodiscard]] core::load_report load(core::time_point now) const;
 
     /// @return the estimated time until a ticket starts, zero if a slot is free
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -270,6 +270,10 @@
     {
         report.service_time = std::chrono::duration_cast<std::chrono::microseconds>(*usual_time);
     }
+    // With a limit on the starts, a slot becomes free only at that rate.
+    const auto slot_time = this->gate.min_start_interval() * report.slots;
+    report.service_time =
+        std::max(report.service_time, std::chrono::duration_cast<std::chrono::microseconds>(slot_time));
     return report;
 }
 
--- a/libs/node/tests/unit-receiver.cpp
+++ b/libs/node/tests/unit-receiver.cpp
@@ -1,6 +1,7 @@
 #include <chrono>   // milliseconds, seconds
 #include <memory>   // make_unique, unique_ptr
-#include <optional> // optional
+#include <optional> // nullopt, optional
+#include <string>   // to_string
 #include <variant>  // get_if, holds_alternative
 #include <vector>   // vector
 
@@ -179,3 +180,22 @@
     CHECK_FALSE(system.offer().has_value());
     LONGS_EQUAL(1, system.executed);
 }
+
+// Pattern: an upstream in need names a limit that is far below what its slots would permit. Nodes that see only the
+// short service times take it for the least loaded one, and most of what they send there is refused.
+TEST(receiver, the_load_report_permits_no_more_requests_than_the_limit)
+{
+    receiver_with_peer system;
+    system.tested->on_upstream_load({.slowdown_percent = 100});
+    CHECK_FALSE(system.offer().has_value());
+    for (const double limit : {1.0, 9.4, 120.0, 900.0})
+    {
+        system.tested->set_max_request_rate(limit);
+        const auto report = system.tested->load();
+        const std::chrono::duration<double> service_time = report.service_time;
+        CHECK_TEXT(report.slots <= 1.01 * limit * service_time.count(), std::to_string(limit).c_str());
+    }
+    system.tested->set_max_request_rate(std::nullopt);
+    LONGS_EQUAL(4, system.tested->load().slots);
+    CHECK(system.tested->load().service_time < 100ms);
+}
