--- /dev/null
+++ b/libs/mesh/tests/unit-mesh_configuration.cpp
@@ -0,0 +1,144 @@
+#include <algorithm> // ranges::all_of, ranges::find
+#include <string>    // string, to_string
+#include <vector>    // vector
+
+#include "small_mesh.hpp"
+
+using namespace poplarport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t watcher_count = 6;
+
+// Ten nodes with a configuration, of which those that watch the store are killed.
+struct mesh_without_watchers : mesh::small_mesh
+{
+    std::vector<member*> killed{};
+
+    mesh_without_watchers() : small_mesh{std::vector<std::string>(watcher_count + 4, "orders")}
+    {
+        this->configure("1 /o/=orders");
+        for (const auto& each : this->members)
+        {
+            CHECK_FALSE(this->send_heartbeat(*each));
+            CHECK(this->eventually_responds(*each, "/o/1", 200));
+        }
+        this->run_until([this] { return this->watchers() == watcher_count; });
+        this->wait(500ms);
+        for (const auto& each : this->members)
+        {
+            if (each->objects->has_watch())
+            {
+                each->node.reset();
+                this->killed.push_back(each.get());
+            }
+        }
+        this->content.watches.clear();
+    }
+
+    // Returns the time until version 3 is in force at the nodes that were not killed.
+    core::duration time_until_in_force()
+    {
+        const auto begin = this->loop.now();
+        const auto is_in_force = [this](const auto& each)
+        {
+            return std::ranges::find(this->killed, each.get()) != this->killed.end() ||
+                   each->node->metrics_text().find("\npoplarport_configuration_version 3\n") != std::string::npos;
+        };
+        this->run_until([&] { return std::ranges::all_of(this->members, is_in_force); });
+        return this->loop.now() - begin;
+    }
+};
+
+} // namespace
+
+TEST_GROUP(mesh_configuration){};
+
+// A node whose store calls are refused must pull a new version from its peers, and no node may return to an older
+// version that appears in the store.
+TEST(mesh_configuration, a_version_reaches_nodes_that_the_store_refuses)
+{
+    mesh::small_mesh mesh{{"orders", "orders"}};
+    mesh.configure("1 /o/=orders");
+    auto& first = *mesh.members[0];
+    auto& second = *mesh.members[1];
+    CHECK_FALSE(mesh.send_heartbeat(first));
+    CHECK_FALSE(mesh.send_heartbeat(second));
+    CHECK(mesh.eventually_responds(second, "/o/1", 200));
+    // A node that restarts while the store refuses its peers finds them only if they are registered.
+    mesh.run_until([&] { return mesh.registered_nodes() == 2; });
+    second.objects->refuses = true;
+    std::erase_if(mesh.content.watches, [](const auto&) { return true; });
+    mesh.wait(300ms);
+    mesh.kill(first);
+    mesh.configure("2 /o/=orders /n/=orders");
+    mesh.start(first);
+    CHECK_FALSE(mesh.send_heartbeat(first));
+    CHECK(mesh.eventually_responds(second, "/n/1", 200));
+    mesh.configure("1 /o/=orders");
+    mesh.wait(200ms);
+    LONGS_EQUAL(200, mesh.call(first, "/n/1"));
+    LONGS_EQUAL(200, mesh.call(second, "/n/1"));
+}
+
+// Pattern: all nodes that watch the store lose power at once, and the configuration changes at the same moment. The
+// other nodes must have it in force within config_apply, not only after the lost ones have been declared dead.
+TEST(mesh_configuration, a_version_is_in_force_in_time_when_all_watchers_are_lost)
+{
+    constexpr auto config_apply = 2500ms;
+    mesh_without_watchers mesh;
+    mesh.configure("3 /o/=orders /n/=orders");
+    CHECK(mesh.time_until_in_force() < config_apply);
+}
+
+// Pattern: all nodes that watch the store are killed and restart half a second later, and the configuration changes at
+// the same moment. The reads of the restarted nodes may lag, so the others must not rely on them until they watch
+// again.
+TEST(mesh_configuration, a_version_is_in_force_in_time_when_all_watchers_restart)
+{
+    constexpr auto config_apply = 2000ms;
+    mesh_without_watchers mesh;
+    mesh.content.lagging_objects = mesh.content.objects;
+    mesh.configure("3 /o/=orders /n/=orders");
+    const auto acknowledged_at = mesh.loop.now();
+    mesh.wait(500ms);
+    for (auto* const each : mesh.killed)
+    {
+        mesh.start(*each);
+    }
+    static_cast<void>(mesh.time_until_in_force());
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(mesh.loop.now() - acknowledged_at);
+    CHECK_TEXT(waited < config_apply, std::to_string(waited.count()).c_str());
+}
+
+// A new version must reach all nodes when the store refuses every node that watches it.
+TEST(mesh_configuration, remaining_nodes_watch_the_store_in_place_of_refused_ones)
+{
+    constexpr std::size_t refused_watchers = 6;
+    mesh::small_mesh mesh{std::vector<std::string>(refused_watchers + 2, "orders")};
+    mesh.configure("1 /o/=orders");
+    for (const auto& each : mesh.members)
+    {
+        CHECK_FALSE(mesh.send_heartbeat(*each));
+        CHECK(mesh.eventually_responds(*each, "/o/1", 200));
+    }
+    mesh.run_until([&] { return mesh.watchers() == refused_watchers; });
+    mesh.wait(500ms);
+    std::size_t refused = 0;
+    for (const auto& each : mesh.members)
+    {
+        if (each->objects->has_watch())
+        {
+            each->objects->refuse_calls();
+            ++refused;
+        }
+    }
+    LONGS_EQUAL(refused_watchers, refused);
+    mesh.configure("3 /o/=orders /n/=orders");
+    for (const auto& each : mesh.members)
+    {
+        CHECK(mesh.eventually_responds(*each, "/n/1", 200));
+    }
+}
