Use field names of our own in the test of responses that end early

Cause: the test of the HTTP client used field names of the users' platform. Change: other field names; the checks are the same.

--- a/libs/http/tests/unit-client_connection.cpp
+++ b/libs/http/tests/unit-client_connection.cpp
@@ -75,11 +75,10 @@
 // appear to have responded: the caller would receive a success with an empty or short body that looks complete.
 TEST(client_connection, a_response_that_ends_early_is_a_failure)
 {
-    const std::string fixed =
-        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\nhello";
+    const std::string fixed = "HTTP/1.1 200 OK\r\nCall-Id: r1\r\nBody-Digest: s\r\nContent-Length: 5\r\n\r\nhello";
     const std::string chunked =
-        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
-    const std::string unframed = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n\r\n";
+        "HTTP/1.1 200 OK\r\nCall-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    const std::string unframed = "HTTP/1.1 200 OK\r\nCall-Id: r1\r\nBody-Digest: s\r\n\r\n";
     for (const auto& whole : {fixed, chunked, unframed})
     {
         for (std::size_t length = 0; length < whole.size(); ++length)
