--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -1,5 +1,5 @@
-// An upstream answers one request with a proper head and then bytes that are no chunk, without end. The node beside it
-// must give up that one request; it must not lose the requests of other callers.
+// An upstream answers a few requests with a proper head and then bytes that are no chunk, without end. The node beside
+// it must give up these requests; it must not lose the requests of other callers.
 
 #include <atomic>   // atomic
 #include <iostream> // cerr, cout
@@ -13,13 +13,15 @@
 {
 
 constexpr milliseconds traffic_time{20000};
-constexpr std::int64_t trouble_at_ms = 8000; // after the start of traffic
-constexpr double memory_limit_mb = 260.0;    // limits.memory_mb of the machine
-constexpr milliseconds restart_delay{500};   // until the platform starts a process again
-constexpr int max_lost = 3;                  // LOST: "more than three times"
+constexpr std::int64_t first_trouble_ms = 8000; // after the start of traffic
+constexpr std::int64_t trouble_interval_ms = 3500;
+constexpr int max_troubles = 3;            // of some hundred answers of the upstream
+constexpr double memory_limit_mb = 260.0;  // limits.memory_mb of the machine
+constexpr milliseconds restart_delay{500}; // until the platform starts a process again
+constexpr int max_lost = 3;                // LOST: "more than three times"
 constexpr std::size_t bytes_per_second = 200'000'000;
 
-constexpr std::size_t spoiled_machine = 0; // serves orders; its upstream spoils one answer
+constexpr std::size_t spoiled_machine = 0; // serves orders; its upstream spoils a few answers
 constexpr int callers_on_machine = 28;
 constexpr int callers_elsewhere = 3;
 
@@ -144,16 +146,17 @@
     }
     const auto traffic_start = steady::now();
     const auto traffic_start_ms = elapsed_ms();
-    bool is_due = command.trouble;
+    int troubles = command.trouble ? 0 : max_troubles;
     double peak_mb = 0.0;
     int ended = 0;
     std::optional<steady::time_point> restart_at;
     auto& watched = *system.machines[spoiled_machine];
     while (steady::now() - traffic_start < traffic_time)
     {
-        if (is_due && elapsed_ms() - traffic_start_ms > trouble_at_ms)
+        if (troubles < max_troubles &&
+            elapsed_ms() - traffic_start_ms > first_trouble_ms + troubles * trouble_interval_ms)
         {
-            is_due = false;
+            ++troubles;
             spoil_next = true;
         }
         const double memory = restart_at ? 0.0 : watched.memory_mb();
