review: show that a planned stop can end in a crash

Cause: a status check in progress outlives the receiver that started it. The event loop is destroyed after the node, and closes the connection of the check, whose hook uses the receiver and the upstream task after they were freed.

Nothing is fixed.

--- a/review/stage/stage.hpp
+++ b/review/stage/stage.hpp
@@ -693,6 +693,7 @@
     const int slots;
     const std::int64_t born; ///< time of the start, as the clock of the machine shows it
     std::atomic<bool> leaving{false};
+    std::atomic<bool> dark{false};    ///< whether it leaves all that it reads without an answer
     std::atomic<bool> has_ack{false}; ///< whether the report that it leaves has been acknowledged
 
   private:
@@ -715,6 +716,10 @@
 
     bool handle_request(int connection, const message& request)
     {
+        while (this->dark)
+        {
+            pause_for(milliseconds{5});
+        }
         if (request.word(1) == "/health")
         {
             const auto fields = "Instance-Id: " + this->id + "\r\n" + this->load_field();
@@ -744,6 +749,11 @@
     {
         while (!this->crashed)
         {
+            if (this->dark)
+            {
+                pause_for(milliseconds{5});
+                continue;
+            }
             const bool is_leaving = this->leaving;
             const auto body = this->heartbeat(is_leaving ? "draining" : "ready").dump();
             const int status = this->call_node("/-/Instances.Heartbeat/" + this->id, body);
