--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/[1-5]/scenario.cpp; do
+for source in review/[1-5]/scenario.cpp review/stop/scenario.cpp; do
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review/case-$number"
 done
