Limit the parts of a response that a sender never ends

Cause: the parser buffers what Beast has not consumed, and Beast limits the header section only, not the line before a chunk and not the trailer section. The buffer grew until the deadline of the call.

Change: unconsumed input above the limit of the header section is an error of its own, 1010, for requests and responses. Related paths: the body of a status check and of a refusal end after 64 KiB; a refusal with a complete header section stays "not run" when its body fails. The parser's code is logged with the request.

--- a/libs/http/include/poplarport/http/detail/message_parser.hpp
+++ b/libs/http/include/poplarport/http/detail/message_parser.hpp
@@ -32,7 +32,8 @@
     };
 
     /// @param[in] expected           kind of message
-    /// @param[in] header_limit_bytes maximum size of the header section
+    /// @param[in] header_limit_bytes maximum size of the header section, of the line before a chunk and of the trailer
+    ///                               section; bounds the bytes that the parser buffers
     message_parser(kind expected, std::size_t header_limit_bytes);
     ~message_parser();
     message_parser(const message_parser&) = delete;
--- a/libs/http/include/poplarport/http/errors.hpp
+++ b/libs/http/include/poplarport/http/errors.hpp
@@ -20,7 +20,8 @@
     incomplete_message = 1006,
     too_many_connections = 1007,
     timed_out = 1008,
-    unexpected_bytes = 1009
+    unexpected_bytes = 1009,
+    framing_too_large = 1010
 };
 
 /// @return the error category of this library
--- a/libs/http/src/message_parser.cpp
+++ b/libs/http/src/message_parser.cpp
@@ -248,6 +248,13 @@
             return result;
         }
         result.needs_more = available == 0 || (error == beast_error::need_more && consumed == 0);
+        // The parser waits for the end of a line or section. Its limit covers the header section only, not the lines
+        // with the sizes of chunks and the trailer section.
+        if (result.needs_more && available > this->header_limit_bytes)
+        {
+            result.error = errc::framing_too_large;
+            return result;
+        }
     }
     if (parser.is_header_done() && !this->header_complete)
     {
--- a/libs/http/tests/unit-server.cpp
+++ b/libs/http/tests/unit-server.cpp
@@ -164,6 +164,22 @@
     LONGS_EQUAL(1, requests);
 }
 
+// A caller that never ends the line before a chunk, or the trailer section, must not make the server buffer its bytes.
+TEST(http_server, a_body_with_framing_without_end_is_refused)
+{
+    for (const char* const start : {"5;a=", "5\r\nhello\r\n5;a=", "0\r\nA: "})
+    {
+        net::event_loop loop;
+        int requests = 0;
+        const auto server = make_echo_server(loop, requests);
+        const auto response = exchange_raw(loop, server.address(),
+                                           "POST / HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                               std::string{start} + std::string(1U << 20U, 'x'));
+        CHECK_TEXT(response.starts_with("HTTP/1.1 400"), start);
+        LONGS_EQUAL_TEXT(1, requests, start);
+    }
+}
+
 // Responses to pipelined requests could be mixed up or lost when requests arrive split at any byte.
 TEST(http_server, responses_to_split_and_pipelined_requests_keep_the_request_order)
 {
--- a/libs/node/include/poplarport/node/detail/local_channel.hpp
+++ b/libs/node/include/poplarport/node/detail/local_channel.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>      // size_t
 #include <memory>       // enable_shared_from_this, shared_ptr
 #include <string>       // string
+#include <string_view>  // string_view
 #include <system_error> // error_code
 
 #include "poplarport/http/client_connection.hpp"
@@ -42,7 +44,9 @@
 
     [[nodiscard]] http::client_connection::hooks connection_hooks();
     void handle_header(http::response_header& header);
+    void handle_body(std::string_view bytes);
     void handle_end();
+    void end_refused(bool connection_is_reusable);
     void handle_failure(const http::client_failure& failure);
     void handle_deadline();
     void fail(attempts::attempt_event event, std::error_code reason);
@@ -61,6 +65,7 @@
     bool request_finished{false};
     /// Set when the response's header section proves that the upstream did not run the request.
     std::error_code refusal_reason{};
+    std::size_t refusal_body_bytes{0};
     core::time_point dispatched_at{};
     std::uint32_t slowdown_at_dispatch{100};
     std::shared_ptr<http::client_connection> connection{};
--- a/libs/node/include/poplarport/node/detail/status_check.hpp
+++ b/libs/node/include/poplarport/node/detail/status_check.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>    // size_t
 #include <functional> // function
 #include <memory>     // enable_shared_from_this, shared_ptr
 #include <string>     // string
@@ -27,6 +28,7 @@
     std::function<void(const http::response_header*)> hook;
     std::shared_ptr<http::client_connection> connection{};
     http::response_header response{};
+    std::size_t body_bytes{0};
     std::shared_ptr<status_check> self{};
     net::timer timer;
 };
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -4,6 +4,7 @@
 #include <utility> // exchange, move
 #include <variant> // holds_alternative
 
+#include "poplarport/http/errors.hpp"
 #include "poplarport/node/detail/forwarding.hpp"
 #include "poplarport/node/errors.hpp"
 #include "poplarport/observability/log_record.hpp"
@@ -11,6 +12,14 @@
 namespace poplarport::node::detail
 {
 
+namespace
+{
+
+// Larger bodies of refusals are not read to their end, which may not exist.
+constexpr std::size_t max_refusal_body_bytes = 65536;
+
+} // namespace
+
 local_channel::local_channel(receiver& parent, std::string id, http::request_header request, received_call received,
                              hooks callbacks)
     : owner(&parent), ticket(std::move(id)), header(std::move(request)), call(std::move(received)),
@@ -79,15 +88,7 @@
                 }
             },
             .on_response_header = [this](http::response_header& response) { this->handle_header(response); },
-            .on_body =
-                [this](std::string_view bytes)
-            {
-                const auto callbacks = this->events;
-                if (!this->refusal_reason && callbacks->on_body)
-                {
-                    callbacks->on_body(bytes);
-                }
-            },
+            .on_body = [this](std::string_view bytes) { this->handle_body(bytes); },
             .on_end = [this] { this->handle_end(); },
             .on_writable =
                 [this]
@@ -143,19 +144,43 @@
     }
 }
 
-void local_channel::handle_end()
+void local_channel::handle_body(std::string_view bytes)
 {
-    const auto self = this->shared_from_this();
     if (this->refusal_reason)
     {
-        this->close_connection(true);
-        if (this->refusal_reason == errc::misdirected && this->owner->events.on_misdirected)
+        this->refusal_body_bytes += bytes.size();
+        if (this->refusal_body_bytes > max_refusal_body_bytes)
         {
-            this->owner->events.on_misdirected();
+            this->end_refused(false);
         }
-        this->fail(attempts::refused{attempts::refusal_proof::upstream_shed,
-                                     this->owner->events.better_peers(core::duration::max())},
-                   this->refusal_reason);
+        return;
+    }
+    const auto callbacks = this->events;
+    if (callbacks->on_body)
+    {
+        callbacks->on_body(bytes);
+    }
+}
+
+void local_channel::end_refused(bool connection_is_reusable)
+{
+    const auto self = this->shared_from_this();
+    this->close_connection(connection_is_reusable);
+    if (this->refusal_reason == errc::misdirected && this->owner->events.on_misdirected)
+    {
+        this->owner->events.on_misdirected();
+    }
+    this->fail(attempts::refused{attempts::refusal_proof::upstream_shed,
+                                 this->owner->events.better_peers(core::duration::max())},
+               this->refusal_reason);
+}
+
+void local_channel::handle_end()
+{
+    const auto self = this->shared_from_this();
+    if (this->refusal_reason)
+    {
+        this->end_refused(true);
         return;
     }
     this->phase = state::ended;
@@ -175,6 +200,23 @@
 void local_channel::handle_failure(const http::client_failure& failure)
 {
     const auto self = this->shared_from_this();
+    if (failure.error.category() == http::category() &&
+        observability::is_request_logged(observability::log_level::info, this->call.id))
+    {
+        observability::log_record{"upstream_response_rejected"}
+            .with("id", this->call.id)
+            .with("upstream", this->owner->identity)
+            .with("code", failure.error.value())
+            .with("reason", failure.error.message())
+            .with("ran_us", this->owner->loop->now() - this->dispatched_at)
+            .write(observability::log_level::info);
+    }
+    if (this->refusal_reason)
+    {
+        // The header section of the refusal was complete.
+        this->end_refused(false);
+        return;
+    }
     this->close_connection(false);
     if (!failure.bytes_sent)
     {
--- a/libs/node/src/status_check.cpp
+++ b/libs/node/src/status_check.cpp
@@ -5,6 +5,14 @@
 namespace poplarport::node::detail
 {
 
+namespace
+{
+
+// The body of a status check is not used. One that does not end would keep the node reading until the time-out.
+constexpr std::size_t max_body_bytes = 65536;
+
+} // namespace
+
 status_check::status_check(receiver& parent, std::function<void(const http::response_header*)> done)
     : owner(&parent), hook(std::move(done)), timer(*parent.loop, [this] { this->end(false); })
 {
@@ -27,7 +35,15 @@
     this->connection->start(
         header, {.on_interim = {},
                  .on_response_header = [this](http::response_header& received) { this->response = received; },
-                 .on_body = {},
+                 .on_body =
+                     [this](std::string_view bytes)
+                 {
+                     this->body_bytes += bytes.size();
+                     if (this->body_bytes > max_body_bytes)
+                     {
+                         this->end(false);
+                     }
+                 },
                  .on_end = [this] { this->end(true); },
                  .on_writable = {},
                  .on_failed =
