Let an upstream with an earlier start time replace a silent one

Cause: the registry took each heartbeat with the held id and an earlier start time for a late one, for ever, and the platform program acknowledged it although it had no effect.

Change: an instance with an earlier start time takes the place of the current one after 5 s without a heartbeat of the current one and two of its own; until then its messages are "superseded" (1604) and are answered with 409 instead of 200, so that its leaving is not acknowledged without effect. Related paths: a live instance that a late heartbeat replaced returns; a deregistration of a later start takes effect; an empty id is malformed; rejected deregistrations are logged.

--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
-#include <functional> // function
-#include <memory>     // shared_ptr, unique_ptr
-#include <optional>   // optional
-#include <string>     // string
+#include <cstdint>      // uint64_t
+#include <functional>   // function
+#include <memory>       // shared_ptr, unique_ptr
+#include <optional>     // optional
+#include <string>       // string
+#include <system_error> // error_code
 
 #include "poplarport/mesh/adapter.hpp"
 #include "poplarport/mesh/settings.hpp"
@@ -94,6 +96,8 @@
     void set_down(bool down, std::string_view reason);
     [[nodiscard]] bool awaits_response() const;
     void update(std::string_view reason);
+    void log_rejected(const registration::upstream_instance& instance, std::optional<std::uint64_t> sequence,
+                      std::error_code error) const;
     void notify_deregistered(const std::function<void(std::error_code)>& acknowledge);
 
     net::event_loop* loop;
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -132,14 +132,7 @@
     const auto error = this->registry.on_heartbeat(heartbeat, this->loop->now());
     if (error)
     {
-        observability::log_record{"announcement_rejected"}
-            .with("upstream", registration::to_string(heartbeat.instance))
-            .with("sequence", static_cast<std::int64_t>(heartbeat.sequence))
-            .with("held", registration::to_string(this->registry.current().instance))
-            .with("held_sequence", static_cast<std::int64_t>(this->registry.current().sequence))
-            .with("code", error.value())
-            .with("reason", error.message())
-            .write(observability::log_level::info);
+        this->log_rejected(heartbeat.instance, heartbeat.sequence, error);
         acknowledge(error);
         return;
     }
@@ -167,6 +160,10 @@
 {
     const auto deregistered_before = this->registry.deregistered_instance();
     const auto error = this->registry.on_deregistration(instance, this->loop->now());
+    if (error)
+    {
+        this->log_rejected(instance, std::nullopt, error);
+    }
     this->update("departure");
     if (!error && this->registry.deregistered_instance() != deregistered_before)
     {
@@ -176,6 +173,22 @@
     acknowledge(error);
 }
 
+void upstream_task::log_rejected(const registration::upstream_instance& instance, std::optional<std::uint64_t> sequence,
+                                 std::error_code error) const
+{
+    const auto& held = this->registry.current();
+    observability::log_record{"announcement_rejected"}
+        .with("upstream", registration::to_string(instance))
+        .with("kind", sequence ? "heartbeat" : "deregistration")
+        .with("sequence", static_cast<std::int64_t>(sequence.value_or(0)))
+        .with("held", registration::to_string(held.instance))
+        .with("held_sequence", static_cast<std::int64_t>(held.sequence))
+        .with("held_age_us", this->loop->now() - held.last_heartbeat_at)
+        .with("code", error.value())
+        .with("reason", error.message())
+        .write(observability::log_level::info);
+}
+
 void upstream_task::notify_deregistered(const std::function<void(std::error_code)>& acknowledge)
 {
     this->events.on_deregistered(this->registry.deregistered_instance(), [acknowledge] { acknowledge({}); });
--- a/libs/registration/include/poplarport/registration/errors.hpp
+++ b/libs/registration/include/poplarport/registration/errors.hpp
@@ -14,7 +14,8 @@
     malformed = 1600,     ///< fields are missing or of the wrong type
     other_service = 1601, ///< the upstream belongs to another service
     other_address = 1602, ///< the upstream is not the one beside this node
-    outdated = 1603       ///< a newer heartbeat or a newer instance of the upstream has been received
+    outdated = 1603,      ///< a newer heartbeat of the upstream instance has been received
+    superseded = 1604     ///< another instance of the upstream is current
 };
 
 /// @return the category of this library's result codes
--- a/libs/registration/include/poplarport/registration/registry.hpp
+++ b/libs/registration/include/poplarport/registration/registry.hpp
@@ -59,9 +59,11 @@
 /// @brief Tracks the registration of the upstream beside a node and rejects outdated heartbeats.
 ///
 /// Draining and deregistration are final for an instance: a late heartbeat does not revert them. When another instance
-/// registers, the one registered before it has ended. A heartbeat with an earlier start time than the current
-/// instance's is outdated if the id is the same, or if the current instance is ready and sent a heartbeat within the
-/// last 5 s; later, the clock may have been set back, and the heartbeat is accepted.
+/// registers, the one registered before it has ended. The start time alone does not tell which of two instances is the
+/// live one: a heartbeat may be late, or the clock may have been set back before the upstream restarted. An instance
+/// with a later start time replaces the current one at once. Any other instance is rejected as `superseded` until the
+/// current one has sent no heartbeat for 5 s; an instance with the same id, or one that was replaced before, must then
+/// also have sent two heartbeats.
 class registry
 {
   public:
@@ -70,12 +72,12 @@
     registry(std::string service, std::string address);
 
     /// @brief Processes a heartbeat.
-    /// @return an empty code, or `malformed`, `other_service`, `other_address` or `outdated` if it is rejected and has
-    ///         no effect
+    /// @return an empty code, or `malformed`, `other_service`, `other_address`, `outdated` or `superseded` if it is
+    ///         rejected and has no effect
     std::error_code on_heartbeat(const upstream_heartbeat& heartbeat, core::time_point now);
 
     /// @brief Processes the deregistration of an instance.
-    /// @return an empty code, or `outdated` if another instance is current
+    /// @return an empty code, or `malformed` without an id, or `superseded` if another instance is current
     std::error_code on_deregistration(const upstream_instance& instance, core::time_point now);
 
     /// @brief Processes a response in which the current instance states that it leaves.
@@ -103,15 +105,36 @@
     }
 
   private:
-    [[nodiscard]] std::error_code check(const upstream_heartbeat& heartbeat, core::time_point now) const;
-    [[nodiscard]] bool has_ended(const upstream_instance& instance) const;
-    void begin(const upstream_heartbeat& heartbeat);
-    void end_current();
+    /// An instance that was replaced by another one.
+    struct ended_instance
+    {
+        upstream_instance instance{};
+        bool was_leaving{false}; ///< it had drained or deregistered
+    };
+
+    /// An instance that sends heartbeats while another one is current.
+    struct rival_instance
+    {
+        upstream_instance instance{};
+        std::uint64_t sequence{0};
+        bool sent_two_heartbeats{false};
+    };
+
+    [[nodiscard]] std::error_code check(const upstream_heartbeat& heartbeat) const;
+    [[nodiscard]] bool is_current(const upstream_instance& instance) const;
+    [[nodiscard]] bool is_later(const upstream_instance& instance) const;
+    [[nodiscard]] bool is_silent(core::time_point now) const;
+    [[nodiscard]] bool has_outlived_current(const upstream_instance& instance, core::time_point now) const;
+    [[nodiscard]] bool may_follow_current(const upstream_instance& instance, core::time_point now) const;
+    [[nodiscard]] const ended_instance* find_ended(const upstream_instance& instance) const;
+    void record_rival(const upstream_heartbeat& heartbeat);
+    void replace_current(const upstream_instance& instance);
 
     std::string service;
     std::string address;
     local_upstream upstream{};
-    std::deque<upstream_instance> ended_instances{};
+    std::deque<ended_instance> ended_instances{};
+    std::optional<rival_instance> rival{};
     std::string last_deregistered{};
 };
 
--- a/libs/registration/src/registry.cpp
+++ b/libs/registration/src/registry.cpp
@@ -14,8 +14,8 @@
 // seconds apart.
 constexpr std::size_t max_ended_instances = 32;
 
-// Heartbeats arrive every one to two seconds. While the current instance has sent one within this time, a heartbeat of
-// an instance that started earlier is a delayed one; later, the clock of the VM may have been set back.
+// Heartbeats arrive every one to two seconds. While the current instance has sent one within this time, it is live, and
+// a heartbeat of another instance is a delayed one.
 constexpr std::chrono::seconds live_heartbeat_age{5};
 
 } // namespace
@@ -32,24 +32,27 @@
 
 std::error_code registry::on_heartbeat(const upstream_heartbeat& heartbeat, core::time_point now)
 {
-    if (const auto error = this->check(heartbeat, now))
+    if (const auto error = this->check(heartbeat))
     {
         return error;
     }
-    // An instance that was registered by a status check has an id but no start time.
-    if (this->upstream.instance.started_at_ms == 0 && this->upstream.instance.id == heartbeat.instance.id)
-    {
-        this->upstream.instance.started_at_ms = heartbeat.instance.started_at_ms;
-    }
-    if (heartbeat.instance != this->upstream.instance)
+    if (!this->is_current(heartbeat.instance))
     {
-        this->end_current();
-        this->begin(heartbeat);
+        this->record_rival(heartbeat);
+        if (!this->is_later(heartbeat.instance) && !this->has_outlived_current(heartbeat.instance, now) &&
+            !this->may_follow_current(heartbeat.instance, now))
+        {
+            return errc::superseded;
+        }
+        this->replace_current(heartbeat.instance);
     }
     else if (heartbeat.sequence <= this->upstream.sequence)
     {
         return errc::outdated;
     }
+    // An instance that was registered by a status check has an id but no start time.
+    this->upstream.instance = heartbeat.instance;
+    this->rival.reset();
     this->upstream.sequence = heartbeat.sequence;
     this->upstream.last_heartbeat_at = now;
     this->upstream.cold_until = now + heartbeat.cold_remaining;
@@ -70,16 +73,21 @@
 
 std::error_code registry::on_deregistration(const upstream_instance& instance, core::time_point now)
 {
-    const auto& current_instance = this->upstream.instance;
-    const bool is_same_start_time = instance.started_at_ms == current_instance.started_at_ms ||
-                                    current_instance.started_at_ms == 0 || instance.started_at_ms == 0;
-    const bool is_current = instance.id == current_instance.id && is_same_start_time;
-    const bool is_unknown = this->upstream.state == upstream_state::unknown && current_instance.id.empty();
-    if (!is_current && !is_unknown)
+    if (instance.id.empty())
     {
-        return errc::outdated;
+        return errc::malformed;
+    }
+    const bool is_same_id = instance.id == this->upstream.instance.id;
+    const bool names_current = this->is_current(instance) || (is_same_id && instance.started_at_ms == 0);
+    if (!names_current)
+    {
+        if (!this->is_later(instance) && !this->has_outlived_current(instance, now))
+        {
+            return errc::superseded;
+        }
+        this->replace_current(instance);
     }
-    if (is_unknown || current_instance.started_at_ms == 0)
+    else if (this->upstream.instance.started_at_ms == 0)
     {
         this->upstream.instance = instance;
     }
@@ -125,7 +133,7 @@
     return true;
 }
 
-std::error_code registry::check(const upstream_heartbeat& heartbeat, core::time_point now) const
+std::error_code registry::check(const upstream_heartbeat& heartbeat) const
 {
     if (heartbeat.instance.id.empty() || heartbeat.slots == 0)
     {
@@ -139,40 +147,78 @@
     {
         return errc::other_address;
     }
-    if (this->has_ended(heartbeat.instance))
-    {
-        return errc::outdated;
-    }
-    const bool is_earlier = heartbeat.instance.started_at_ms < this->upstream.instance.started_at_ms;
-    const bool is_same_id = heartbeat.instance.id == this->upstream.instance.id;
-    const bool is_live =
-        this->upstream.state == upstream_state::ready && now - this->upstream.last_heartbeat_at < live_heartbeat_age;
-    return is_earlier && (is_same_id || is_live) ? std::error_code{errc::outdated} : std::error_code{};
+    return {};
 }
 
-bool registry::has_ended(const upstream_instance& instance) const
+bool registry::is_current(const upstream_instance& instance) const
 {
-    return std::ranges::find(this->ended_instances, instance) != this->ended_instances.end();
+    const auto& current_instance = this->upstream.instance;
+    return instance.id == current_instance.id &&
+           (instance.started_at_ms == current_instance.started_at_ms || current_instance.started_at_ms == 0);
 }
 
-void registry::begin(const upstream_heartbeat& heartbeat)
+bool registry::is_later(const upstream_instance& instance) const
 {
-    this->upstream = {};
-    this->upstream.instance = heartbeat.instance;
-    this->upstream.sequence = 0;
+    const auto& current_instance = this->upstream.instance;
+    return current_instance.id.empty() ||
+           (instance.started_at_ms > current_instance.started_at_ms && this->find_ended(instance) == nullptr);
 }
 
-void registry::end_current()
+bool registry::is_silent(core::time_point now) const
 {
-    if (this->upstream.instance.id.empty())
+    return now - this->upstream.last_heartbeat_at >= live_heartbeat_age;
+}
+
+bool registry::has_outlived_current(const upstream_instance& instance, core::time_point now) const
+{
+    return this->is_silent(now) && this->rival && this->rival->instance == instance && this->rival->sent_two_heartbeats;
+}
+
+// Status checks show which id lives at the address, but not which of two instances with the same id.
+bool registry::may_follow_current(const upstream_instance& instance, core::time_point now) const
+{
+    const bool is_known = instance.id == this->upstream.instance.id || this->find_ended(instance) != nullptr;
+    return !is_known && (this->is_silent(now) || this->upstream.state != upstream_state::ready);
+}
+
+const registry::ended_instance* registry::find_ended(const upstream_instance& instance) const
+{
+    const auto found = std::ranges::find(this->ended_instances, instance, &ended_instance::instance);
+    return found == this->ended_instances.end() ? nullptr : &*found;
+}
+
+void registry::record_rival(const upstream_heartbeat& heartbeat)
+{
+    if (!this->rival || this->rival->instance != heartbeat.instance)
     {
-        return;
+        this->rival = rival_instance{heartbeat.instance, heartbeat.sequence, false};
     }
-    this->ended_instances.push_back(this->upstream.instance);
-    if (this->ended_instances.size() > max_ended_instances)
+    else if (heartbeat.sequence > this->rival->sequence)
     {
-        this->ended_instances.pop_front();
+        this->rival->sequence = heartbeat.sequence;
+        this->rival->sent_two_heartbeats = true;
     }
 }
 
+void registry::replace_current(const upstream_instance& instance)
+{
+    const auto* const ended = this->find_ended(instance);
+    const bool was_leaving = ended != nullptr && ended->was_leaving;
+    std::erase_if(this->ended_instances, [&instance](const auto& each) { return each.instance == instance; });
+    if (!this->upstream.instance.id.empty())
+    {
+        const bool is_leaving =
+            this->upstream.state == upstream_state::draining || this->upstream.state == upstream_state::left;
+        this->ended_instances.push_back({this->upstream.instance, is_leaving});
+        if (this->ended_instances.size() > max_ended_instances)
+        {
+            this->ended_instances.pop_front();
+        }
+    }
+    this->upstream = {};
+    this->upstream.instance = instance;
+    this->upstream.state = was_leaving ? upstream_state::draining : upstream_state::unknown;
+    this->rival.reset();
+}
+
 } // namespace poplarport::registration
--- a/libs/registration/tests/unit-registry.cpp
+++ b/libs/registration/tests/unit-registry.cpp
@@ -47,7 +47,7 @@
         {"other address", [](auto& heartbeat) { heartbeat.address = "10.0.0.2:80"; }, errc::other_address},
         {"same sequence", [](auto& heartbeat) { heartbeat.sequence = 4; }, errc::outdated},
         {"earlier sequence", [](auto& heartbeat) { heartbeat.sequence = 3; }, errc::outdated},
-        {"earlier start of the id", [](auto& heartbeat) { heartbeat.instance.started_at_ms = 99; }, errc::outdated}};
+        {"earlier start of the id", [](auto& heartbeat) { heartbeat.instance.started_at_ms = 99; }, errc::superseded}};
     for (const auto& each : cases)
     {
         auto registry = make_registry();
@@ -75,7 +75,7 @@
     CHECK(registry.current().state == upstream_state::left);
     CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 100, 4), start_time));
     CHECK(registry.current().state == upstream_state::left);
-    CHECK(registry.on_deregistration({"i-2", 100}, start_time) == errc::outdated);
+    CHECK(registry.on_deregistration({"i-2", 100}, start_time) == errc::superseded);
 }
 
 // A delayed heartbeat of an ended instance must not replace the instance that followed it.
@@ -85,11 +85,11 @@
     CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 100, 8, true), start_time));
     CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 90, 1), start_time));
     CHECK(registry.current().state == upstream_state::ready);
-    CHECK(registry.on_heartbeat(make_heartbeat("i-1", 100, 9), start_time) == errc::outdated);
+    CHECK(registry.on_heartbeat(make_heartbeat("i-1", 100, 9), start_time) == errc::superseded);
     STRCMP_EQUAL("i-2", registry.current().instance.id.c_str());
     // After a restart with the same id, the sequence starts again.
     CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 200, 1), start_time));
-    CHECK(registry.on_heartbeat(make_heartbeat("i-2", 90, 7), start_time) == errc::outdated);
+    CHECK(registry.on_heartbeat(make_heartbeat("i-2", 90, 7), start_time) == errc::superseded);
 }
 
 // A restarted node must not send work to an upstream whose deregistration its previous process acknowledged.
@@ -145,11 +145,87 @@
 {
     auto registry = make_registry();
     CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 200, 1), start_time));
-    CHECK(registry.on_heartbeat(make_heartbeat("i-1", 100, 9), start_time + 3s) == errc::outdated);
+    CHECK(registry.on_heartbeat(make_heartbeat("i-1", 100, 9), start_time + 3s) == errc::superseded);
     CHECK(registry.current().instance.id == "i-2");
     CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 200, 2), start_time + 4s));
     // An instance whose clock was set back is accepted once the current one has sent no heartbeat for 5 s.
-    CHECK(registry.on_heartbeat(make_heartbeat("i-3", 150, 1), start_time + 5s) == errc::outdated);
+    CHECK(registry.on_heartbeat(make_heartbeat("i-3", 150, 1), start_time + 5s) == errc::superseded);
     CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-3", 150, 4), start_time + 10s));
     CHECK(registry.current().instance.id == "i-3");
 }
+
+// An upstream restarts under its id after the clock of its VM was set back. Its leaving must not be acknowledged and
+// ignored: requests then reached it later than the drain limit allows, until its exit (review/2).
+TEST(registry, an_instance_with_an_earlier_start_replaces_a_silent_one)
+{
+    struct restart_case
+    {
+        const char* name;
+        registration::upstream_instance second;
+    };
+    const std::vector<restart_case> cases{{"same id, clock set back", {"i-1", 100}},
+                                          {"other id, clock set back", {"i-2", 100}}};
+    for (const auto& each : cases)
+    {
+        auto registry = make_registry();
+        const auto beat = [&](std::uint64_t sequence, bool draining, core::duration time)
+        {
+            return registry.on_heartbeat(make_heartbeat(each.second.id, each.second.started_at_ms, sequence, draining),
+                                         start_time + time);
+        };
+        CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 200, 4), start_time));
+        CHECK_TEXT(beat(1, false, 1s) == errc::superseded, each.name);
+        CHECK_TEXT(beat(2, true, 2500ms) == errc::superseded, each.name);
+        CHECK_TEXT(registry.on_deregistration(each.second, start_time + 3s) == errc::superseded, each.name);
+        CHECK_TEXT(registry.current().state == upstream_state::ready, each.name);
+        CHECK_FALSE_TEXT(beat(3, true, 5s), each.name);
+        CHECK_TEXT(registry.current().instance == each.second, each.name);
+        CHECK_TEXT(registry.current().state == upstream_state::draining, each.name);
+    }
+}
+
+// A single late heartbeat must not make an upstream ready again that has deregistered under the same id, nor may the
+// late heartbeats of an instance that was replaced.
+TEST(registry, late_heartbeats_do_not_replace_a_silent_instance)
+{
+    auto registry = make_registry();
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 200, 4), start_time));
+    CHECK_FALSE(registry.on_deregistration({"i-1", 200}, start_time));
+    CHECK(registry.on_heartbeat(make_heartbeat("i-1", 100, 9), start_time + 6s) == errc::superseded);
+    CHECK(registry.on_heartbeat(make_heartbeat("i-1", 100, 8), start_time + 7s) == errc::superseded);
+    CHECK(registry.current().state == upstream_state::left);
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 300, 1), start_time + 8s));
+    CHECK(registry.on_heartbeat(make_heartbeat("i-1", 200, 5), start_time + 9s) == errc::superseded);
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 300, 2), start_time + 10s));
+    CHECK(registry.on_heartbeat(make_heartbeat("i-1", 200, 6), start_time + 14s) == errc::superseded);
+    CHECK(registry.current().instance.id == "i-2");
+}
+
+// A late heartbeat whose start time lies ahead, from before the clock was set back, takes the place of the live
+// instance. That instance must not be rejected for ever, and if it had drained, it must still count as drained.
+TEST(registry, a_live_instance_that_was_replaced_returns)
+{
+    for (const bool draining : {false, true})
+    {
+        auto registry = make_registry();
+        CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 100, 1, draining), start_time));
+        CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 200, 9), start_time + 1s));
+        CHECK(registry.on_heartbeat(make_heartbeat("i-2", 100, 2, draining), start_time + 2s) == errc::superseded);
+        CHECK(registry.on_heartbeat(make_heartbeat("i-2", 100, 3, draining), start_time + 4s) == errc::superseded);
+        CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-2", 100, 4), start_time + 6s));
+        STRCMP_EQUAL("i-2", registry.current().instance.id.c_str());
+        CHECK(registry.current().state == (draining ? upstream_state::draining : upstream_state::ready));
+    }
+}
+
+// The first message of a restarted upstream may be its deregistration. It must not be acknowledged without effect: the
+// id is that of the instance before, so that status checks do not show the difference.
+TEST(registry, a_deregistration_of_a_later_start_takes_effect)
+{
+    auto registry = make_registry();
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 100, 4), start_time));
+    CHECK(registry.on_deregistration({"", 0}, start_time) == errc::malformed);
+    CHECK_FALSE(registry.on_deregistration({"i-1", 200}, start_time + 1s));
+    CHECK(registry.current().state == upstream_state::left);
+    STRCMP_EQUAL("i-1@200", registry.deregistered_instance().c_str());
+}
