Let the watches of the configuration end in turn, and replace silent ones

What callers saw, by the users' report: requests were handled as an older configuration allows more than config_apply after a newer one was acknowledged; nodes of all zones stayed at one version for seconds.

Cause: six nodes watch the store, each for 18 s to 30 s, and all of them start together after a change. A watch on a connection that has become silent looks like one that waits; keep-alive probes do not show it where something on the path still answers them. A watching node without a response was replaced after its second failure only.

Change: the watches of all watchers end one after the other, one every 1.5 s, and each continues on a new connection. A watch without a response gives up the rank at once and is followed by a read, which is short. A call without a response has the code 1507 and its step and duration in the log.

Tests: unit_mesh a_version_is_in_force_in_time_when_all_watches_are_silent fails before (not in force within 10 s), passes after; unit_configuration the_watches_of_all_watchers_end_in_turn and a_silent_watch_is_followed_by_a_read guard the schedule.

--- a/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
+++ b/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>  // milliseconds, seconds
+#include <cstddef> // size_t
 #include <cstdint> // uint8_t
 #include <random>  // mt19937_64
 
@@ -24,6 +25,9 @@
     /// Maximum time from the start until a node ranks the members that it knows, on a first and on any other start.
     core::duration max_first_settle_time{std::chrono::seconds{6}};
     core::duration max_settle_time{std::chrono::milliseconds{2500}};
+    /// Interval between the ends of two watches, taken over all watchers. A watch on a connection that has become
+    /// silent misses every change; the next one uses a new connection.
+    core::duration renewal_interval{std::chrono::milliseconds{1500}};
     /// Delay of a watch after a change, so that a series of changes costs few calls.
     core::duration delay_after_change{std::chrono::milliseconds{250}};
     /// Delay until a change of the members' ranks is considered.
@@ -80,6 +84,16 @@
     /// @brief Records that the store did not perform the step.
     void on_failed(core::time_point now, std::mt19937_64& random);
 
+    /// @brief Records that the store did not respond. The next step is a read, which shows within its short time limit
+    /// whether the store responds to this node.
+    void on_no_response(core::time_point now, std::mt19937_64& random);
+
+    /// @brief Returns how long the next watch waits for a change. The watches of all watchers start at about the same
+    /// time after a change; their ends are spread evenly.
+    /// @param[in] position watchers that rank higher, below `watchers`
+    /// @param[in] watchers watchers with this node
+    [[nodiscard]] core::duration watch_wait(std::size_t position, std::size_t watchers) const;
+
     /// @brief Records that a member has joined, ended, or lost or regained the store.
     void on_members_changed(bool has_peers, core::time_point now);
 
@@ -114,6 +128,7 @@
     bool is_polling{false}; ///< the next step is another read, after a read that may have found no configuration
     bool had_peers{false};
     bool has_revision{false}; ///< a read has returned the revision from which a watch continues
+    bool is_spread{false};    ///< the last watch has ended without a change, so that its end was in turn
     watch_step in_progress{watch_step::none};
 };
 
--- a/libs/configuration/src/watch_schedule.cpp
+++ b/libs/configuration/src/watch_schedule.cpp
@@ -57,6 +57,7 @@
     if (std::exchange(this->in_progress, watch_step::none) == watch_step::read_latest)
     {
         this->has_revision = true;
+        this->is_spread = false;
         this->next_step = now;
         return;
     }
@@ -72,6 +73,7 @@
 void watch_schedule::on_watched(bool has_changes, core::time_point now)
 {
     this->in_progress = watch_step::none;
+    this->is_spread = !has_changes;
     this->failure_delay = this->settings.failure_delay;
     this->next_step = has_changes ? now + this->settings.delay_after_change : now;
 }
@@ -90,6 +92,18 @@
     this->failure_delay = std::min(this->failure_delay * 2, this->settings.max_failure_delay);
 }
 
+void watch_schedule::on_no_response(core::time_point now, std::mt19937_64& random)
+{
+    this->has_revision = false;
+    this->on_failed(now, random);
+}
+
+core::duration watch_schedule::watch_wait(std::size_t position, std::size_t watchers) const
+{
+    const auto turns = this->is_spread ? watchers : position + 1;
+    return this->settings.renewal_interval * static_cast<int>(turns);
+}
+
 void watch_schedule::on_members_changed(bool has_peers, core::time_point now)
 {
     if (has_peers && !std::exchange(this->had_peers, true))
--- a/libs/configuration/tests/unit-watch_schedule.cpp
+++ b/libs/configuration/tests/unit-watch_schedule.cpp
@@ -1,5 +1,8 @@
-#include <chrono> // milliseconds, seconds
-#include <random> // mt19937_64
+#include <algorithm> // ranges::sort
+#include <chrono>    // milliseconds, seconds
+#include <cstddef>   // size_t
+#include <random>    // mt19937_64
+#include <vector>    // vector
 
 #include <CppUTest/TestHarness.h>
 
@@ -68,6 +71,60 @@
     CHECK(schedule.tick(true, true, now + 1s) == watch_step::watch);
 }
 
+// Pattern: all open connections to the store become silent, and a watch on one of them misses every change. The watches
+// of all watchers must therefore not end together, but one after the other at short intervals, from the first round on.
+TEST(watch_schedule, the_watches_of_all_watchers_end_in_turn)
+{
+    constexpr auto max_gap = 1500ms;
+    for (const std::size_t watchers : {1U, 2U, 6U})
+    {
+        std::mt19937_64 random{1};
+        const core::time_point start{100s};
+        std::vector<core::time_point> ends;
+        for (std::size_t position = 0; position < watchers; ++position)
+        {
+            watch_schedule schedule{{}, start, random};
+            CHECK(schedule.tick(true, false, start) == watch_step::read_lagging);
+            schedule.on_read(start, random);
+            auto now = start + 3s;
+            CHECK(schedule.tick(true, true, now) == watch_step::read_latest);
+            schedule.on_read(now, random);
+            while (now < start + 60s)
+            {
+                CHECK(schedule.tick(true, true, now) == watch_step::watch);
+                now += schedule.watch_wait(position, watchers);
+                ends.push_back(now);
+                schedule.on_watched(false, now);
+            }
+        }
+        std::ranges::sort(ends);
+        auto previous = start + 3s;
+        for (const auto end : ends)
+        {
+            CHECK(end - previous <= max_gap);
+            previous = end;
+        }
+        // Each watch is a call to the store: no more than one an interval.
+        CHECK(ends.size() <= 57s / max_gap + watchers);
+    }
+}
+
+// A watch without a response must be followed by a read, which ends soon if the store does not respond to this node.
+TEST(watch_schedule, a_silent_watch_is_followed_by_a_read)
+{
+    std::mt19937_64 random{1};
+    const core::time_point start{100s};
+    watch_schedule schedule{{}, start, random};
+    CHECK(schedule.tick(true, false, start) == watch_step::read_lagging);
+    schedule.on_read(start, random);
+    CHECK(schedule.tick(true, true, start + 3s) == watch_step::read_latest);
+    schedule.on_read(start + 3s, random);
+    CHECK(schedule.tick(true, true, start + 3s) == watch_step::watch);
+    schedule.on_no_response(start + 5s, random);
+    CHECK(schedule.next_wakeup() <= start + 6s);
+    CHECK(schedule.tick(true, true, schedule.next_wakeup()) == watch_step::read_latest);
+}
+
 // A node that has pulled its first configuration still has a read scheduled, seconds later. It must not wait for it
 // when it becomes a watcher.
 TEST(watch_schedule, a_scheduled_read_does_not_delay_a_new_watcher)
--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -98,6 +98,7 @@
     void handle_list(const store::outcome<store::listing>& result);
     void handle_changes(const store::outcome<store::change_list>& result);
     void handle_failure(std::error_code error);
+    void count_failure(std::error_code error);
     void handle_success();
     void accept_objects(const store::listing& listed);
     void accept_document(const std::string& text, std::string_view source);
@@ -122,10 +123,13 @@
     std::map<bool, node::peer_document> encoded_documents{}; ///< response to pulls, by whether it is compressed
     core::version newest_known{0};                           ///< newest version that a member has announced
     store::revision listed_at{0};
+    core::time_point step_started_at{}; ///< start of the last step of the watch schedule
     bool has_watch_rank{false};
-    bool may_watch{false}; ///< other members may count on the watch of this node if it has the rank
-    int failures{0};       ///< consecutive store calls without a response
-    int pulls{0};          ///< pulls from members in progress
+    std::size_t watch_position{0}; ///< watchers that rank higher
+    std::size_t watchers{1};       ///< watchers with this node
+    bool may_watch{false};         ///< other members may count on the watch of this node if it has the rank
+    int failures{0};               ///< consecutive store calls without a response
+    int pulls{0};                  ///< pulls from members in progress
     bool is_reading_after_pulls{false};
     net::timer store_wakeup;
     net::timer pull_wakeup;
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -28,9 +28,6 @@
 // A single lost response is no reason to replace a watcher.
 constexpr int failures_until_replaced = 2;
 
-// Duration of a watch, which costs one call; the store ends it earlier when there is a change.
-constexpr std::chrono::seconds watch_wait{24};
-
 // Time for which a watcher waits for the store's response before it pulls the version from a member that has it.
 constexpr std::chrono::milliseconds pull_delay{150};
 constexpr std::chrono::milliseconds pull_retry_delay{200};
@@ -40,6 +37,22 @@
 constexpr std::chrono::milliseconds next_pull_delay{300};
 constexpr int max_concurrent_pulls = 3;
 
+std::string_view to_string(configuration::watch_step step)
+{
+    switch (step)
+    {
+    case configuration::watch_step::read_lagging:
+        return "read, may lag";
+    case configuration::watch_step::read_latest:
+        return "read";
+    case configuration::watch_step::watch:
+        return "watch";
+    case configuration::watch_step::none:
+        break;
+    }
+    return "none";
+}
+
 } // namespace
 
 configuration_task::configuration_task(net::event_loop& owner, core::node_id id, std::string zone, std::string key,
@@ -122,15 +135,23 @@
 {
     std::size_t higher_ranked = 0;
     std::size_t live_watchers = 0;
+    std::size_t reaching_store = 0;
     for (const auto& [id, peer] : this->peers)
     {
         // A suspect member has probably failed; it is declared dead only seconds later.
-        if (peer.weight > this->local_weight && !peer.is_suspect)
+        if (peer.is_suspect)
+        {
+            continue;
+        }
+        reaching_store += peer.reaches_store ? 1 : 0;
+        if (peer.weight > this->local_weight)
         {
             ++higher_ranked;
             live_watchers += peer.reaches_store ? 1 : 0;
         }
     }
+    this->watch_position = std::min(live_watchers, watcher_count - 1);
+    this->watchers = std::min(reaching_store + 1, watcher_count);
     const bool has_rank = live_watchers < watcher_count && higher_ranked < watcher_count + max_replacements;
     if (std::exchange(this->has_watch_rank, has_rank) != has_rank)
     {
@@ -182,7 +203,12 @@
 {
     this->announce_watch();
     const bool has_configuration = this->document.version != 0;
-    switch (this->watching.tick(this->update_watch_rank(), has_configuration, this->loop->now()))
+    const auto step = this->watching.tick(this->update_watch_rank(), has_configuration, this->loop->now());
+    if (step != configuration::watch_step::none)
+    {
+        this->step_started_at = this->loop->now();
+    }
+    switch (step)
     {
     case configuration::watch_step::read_lagging:
         this->list(store::consistency::may_lag);
@@ -254,9 +280,9 @@
 
 void configuration_task::watch()
 {
-    const auto wait = core::jittered_interval(watch_wait, *this->random);
     this->platform_adapter->objects->watch(
-        this->platform_adapter->configuration_kind, this->listed_at, wait,
+        this->platform_adapter->configuration_kind, this->listed_at,
+        this->watching.watch_wait(this->watch_position, this->watchers),
         [this, still_alive = this->alive](const store::outcome<store::change_list>& result)
         {
             if (*still_alive)
@@ -297,21 +323,40 @@
     }
 }
 
+void configuration_task::count_failure(std::error_code error)
+{
+    const auto failures_before = this->failures++;
+    const bool was_watching = this->watching.step_in_progress() == configuration::watch_step::watch;
+    if (was_watching && error == store::errc::timed_out)
+    {
+        // The watch may have been silent since its start, so that no second failure is awaited.
+        this->watching.on_no_response(this->loop->now(), *this->random);
+        this->failures = std::max(this->failures, failures_until_replaced);
+    }
+    else
+    {
+        this->watching.on_failed(this->loop->now(), *this->random);
+    }
+    if (failures_before < failures_until_replaced && this->failures >= failures_until_replaced)
+    {
+        this->events.on_store_reached(false);
+    }
+}
+
 void configuration_task::handle_failure(std::error_code error)
 {
+    const auto step = this->watching.step_in_progress();
     if (error == store::errc::history_lost)
     {
         this->watching.on_history_lost(this->loop->now());
     }
     else
     {
-        this->watching.on_failed(this->loop->now(), *this->random);
-        if (++this->failures == failures_until_replaced)
-        {
-            this->events.on_store_reached(false);
-        }
+        this->count_failure(error);
     }
     observability::log_record{"configuration_store_failed"}
+        .with("step", to_string(step))
+        .with("took_us", this->loop->now() - this->step_started_at)
         .with("code", error.value())
         .with("reason", error.message())
         .with("held_version", static_cast<std::int64_t>(this->document.version))
--- a/libs/mesh/tests/memory_store.hpp
+++ b/libs/mesh/tests/memory_store.hpp
@@ -1,14 +1,18 @@
 #pragma once
 
 #include <algorithm>  // ranges::any_of
+#include <chrono>     // seconds
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <map>        // map
+#include <memory>     // make_shared, make_unique, unique_ptr
 #include <optional>   // optional
 #include <string>     // string
-#include <utility>    // move, pair
+#include <utility>    // exchange, move, pair
 #include <vector>     // vector
 
 #include "poplarport/net/event_loop.hpp"
+#include "poplarport/net/timer.hpp"
 #include "poplarport/store/object_store.hpp"
 
 namespace poplarport::mesh
@@ -23,6 +27,7 @@
         store::revision after;
         store::object_store::watch_hook hook;
         const void* client{nullptr}; ///< the client that sent the watch
+        std::uint64_t number{0};     ///< of this client's watch
     };
 
     std::map<std::pair<std::string, std::string>, store::object> objects{};
@@ -61,13 +66,20 @@
     {
     }
 
-    bool refuses{false}; ///< every call ends with errc::refused
+    bool refuses{false};   ///< every call ends with errc::refused
+    bool is_silent{false}; ///< no call gets a response
 
     [[nodiscard]] bool has_watch() const
     {
         return std::ranges::any_of(this->content->watches, [this](const auto& each) { return each.client == this; });
     }
 
+    // Makes the connections of the open watches silent: they get no response. Later calls use new connections.
+    void silence_watches()
+    {
+        std::erase_if(this->content->watches, [this](const auto& each) { return each.client == this; });
+    }
+
     // Refuses every later call and ends the open watches of this client.
     void refuse_calls()
     {
@@ -86,6 +98,15 @@
 
     void list(const std::string& kind, store::consistency wanted, list_hook hook) override
     {
+        if (this->is_silent)
+        {
+            this->timers.push_back(std::make_unique<net::timer>(*this->loop,
+                                                                [hook = std::move(hook)] {
+                                                                    hook({{}, store::errc::timed_out, {}});
+                                                                }));
+            this->timers.back()->schedule(std::chrono::seconds{1});
+            return;
+        }
         store::listing result;
         const bool is_lagging = wanted == store::consistency::may_lag && this->content->lagging_objects;
         for (const auto& [key, object] : is_lagging ? *this->content->lagging_objects : this->content->objects)
@@ -99,11 +120,24 @@
         this->respond<store::listing>(std::move(hook), {result, {}, {}});
     }
 
-    void watch(const std::string& kind, store::revision after, core::duration, watch_hook hook) override
+    void watch(const std::string& kind, store::revision after, core::duration wait, watch_hook hook) override
     {
+        const auto number = ++this->last_watch;
+        const auto once = [pending = std::make_shared<watch_hook>(std::move(hook))](const auto& result)
+        {
+            if (const auto response_hook = std::exchange(*pending, nullptr))
+            {
+                response_hook(result);
+            }
+        };
+        this->end_watch(wait, once, number);
+        if (this->is_silent)
+        {
+            return;
+        }
         if (this->refuses)
         {
-            this->respond<store::change_list>(std::move(hook), {});
+            this->respond<store::change_list>(once, {});
             return;
         }
         store::change_list missed{{}, this->content->revision};
@@ -116,10 +150,10 @@
         }
         if (!missed.changes.empty())
         {
-            this->respond<store::change_list>(std::move(hook), {missed, {}, {}});
+            this->respond<store::change_list>(once, {missed, {}, {}});
             return;
         }
-        this->content->watches.push_back({kind, after, std::move(hook), this});
+        this->content->watches.push_back({kind, after, once, this, number});
     }
 
     void get(const std::string& kind, const std::string& name, object_hook hook) override
@@ -172,6 +206,20 @@
     }
 
   private:
+    // Ends a watch without a change after its time, or, if its connection has become silent, without a response.
+    void end_watch(core::duration wait, const watch_hook& hook, std::uint64_t number)
+    {
+        const auto end = [this, hook, number]
+        {
+            const bool is_open = std::erase_if(this->content->watches, [this, number](const auto& each)
+                                               { return each.client == this && each.number == number; }) > 0;
+            hook(is_open ? store::outcome<store::change_list>{store::change_list{{}, this->content->revision}, {}, {}}
+                         : store::outcome<store::change_list>{{}, store::errc::timed_out, {}});
+        };
+        this->timers.push_back(std::make_unique<net::timer>(*this->loop, end));
+        this->timers.back()->schedule(wait);
+    }
+
     template <typename value_type>
     void respond(std::function<void(const store::outcome<value_type>&)> hook, store::outcome<value_type> result)
     {
@@ -186,6 +234,8 @@
     net::event_loop* loop;
     memory_objects* content;
     std::uint64_t sent{0};
+    std::uint64_t last_watch{0};
+    std::vector<std::unique_ptr<net::timer>> timers{};
 };
 
 } // namespace poplarport::mesh
--- a/libs/mesh/tests/unit-mesh_configuration.cpp
+++ b/libs/mesh/tests/unit-mesh_configuration.cpp
@@ -12,12 +12,10 @@
 
 constexpr std::size_t watcher_count = 6;
 
-// Ten nodes with a configuration, of which those that watch the store are killed.
-struct mesh_without_watchers : mesh::small_mesh
+// Ten nodes with a configuration, of which six watch the store.
+struct watched_mesh : mesh::small_mesh
 {
-    std::vector<member*> killed{};
-
-    mesh_without_watchers() : small_mesh{std::vector<std::string>(watcher_count + 4, "orders")}
+    watched_mesh() : small_mesh{std::vector<std::string>(watcher_count + 4, "orders")}
     {
         this->configure("1 /o/=orders");
         for (const auto& each : this->members)
@@ -27,6 +25,22 @@
         }
         this->run_until([this] { return this->watchers() == watcher_count; });
         this->wait(500ms);
+    }
+
+    // Whether version 3 is in force at a node.
+    static bool is_in_force(const member& each)
+    {
+        return each.node->metrics_text().find("\npoplarport_configuration_version 3\n") != std::string::npos;
+    }
+};
+
+// The same nodes, of which those that watch the store are killed.
+struct mesh_without_watchers : watched_mesh
+{
+    std::vector<member*> killed{};
+
+    mesh_without_watchers()
+    {
         for (const auto& each : this->members)
         {
             if (each->objects->has_watch())
@@ -42,12 +56,11 @@
     core::duration time_until_in_force()
     {
         const auto begin = this->loop.now();
-        const auto is_in_force = [this](const auto& each)
+        const auto is_killed_or_in_force = [this](const auto& each)
         {
-            return std::ranges::find(this->killed, each.get()) != this->killed.end() ||
-                   each->node->metrics_text().find("\npoplarport_configuration_version 3\n") != std::string::npos;
+            return std::ranges::find(this->killed, each.get()) != this->killed.end() || is_in_force(*each);
         };
-        this->run_until([&] { return std::ranges::all_of(this->members, is_in_force); });
+        this->run_until([&] { return std::ranges::all_of(this->members, is_killed_or_in_force); });
         return this->loop.now() - begin;
     }
 };
@@ -113,6 +126,46 @@
     CHECK_TEXT(waited < config_apply, std::to_string(waited.count()).c_str());
 }
 
+// Pattern: all connections to the store become silent, so that no watch returns the next change, while new connections
+// work; or the store no longer responds to the nodes that watch it. Keep-alive probes may be answered all the while.
+// The change must be in force within its bound, in which such nodes are not counted for the first three seconds.
+TEST(mesh_configuration, a_version_is_in_force_in_time_when_all_watches_are_silent)
+{
+    struct silence_case
+    {
+        const char* name;
+        bool is_store_silent; ///< for the nodes that watch it, not only on their open connections
+        core::duration change_after;
+        core::duration bound; ///< from the start of the silence
+    };
+    constexpr core::duration stable_window = 3s;
+    constexpr core::duration config_apply = 2s;
+    constexpr core::duration max_skew = 5s;
+    const silence_case cases[] = {
+        {"change at once", false, 0s, stable_window},
+        {"change when the nodes count again", false, stable_window, stable_window + config_apply},
+        {"store silent for the watching nodes", true, stable_window, stable_window + config_apply + max_skew}};
+    for (const auto& each : cases)
+    {
+        watched_mesh mesh;
+        for (const auto& member : mesh.members)
+        {
+            member->objects->is_silent = each.is_store_silent && member->objects->has_watch();
+            member->objects->silence_watches();
+        }
+        const auto begin = mesh.loop.now();
+        mesh.wait(each.change_after);
+        mesh.configure("3 /o/=orders /n/=orders");
+        mesh.run_until(
+            [&] {
+                return std::ranges::all_of(mesh.members,
+                                           [](const auto& member) { return watched_mesh::is_in_force(*member); });
+            });
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(mesh.loop.now() - begin);
+        CHECK_TEXT(waited < each.bound, (each.name + (": " + std::to_string(waited.count()))).c_str());
+    }
+}
+
 // A new version must reach all nodes when the store refuses every node that watches it.
 TEST(mesh_configuration, remaining_nodes_watch_the_store_in_place_of_refused_ones)
 {
--- a/libs/store/include/poplarport/store/errors.hpp
+++ b/libs/store/include/poplarport/store/errors.hpp
@@ -17,7 +17,8 @@
     conflict = 1503,        ///< the object has another revision or exists already
     not_found = 1504,       ///< the object does not exist
     history_lost = 1505,    ///< the store no longer keeps the changes since the revision; list again
-    malformed = 1506        ///< the response cannot be parsed
+    malformed = 1506,       ///< the response cannot be parsed
+    timed_out = 1507        ///< no response in time; a write may have been applied or may still be applied
 };
 
 /// @return the category of this library's result codes
