Accept responses of the store in chunks

Cause: the client of the store refused a response without a stated length, because libwebsockets reports a chunked body as complete if the connection closes within it. A store that chooses chunks, for all or for larger objects, was of no use; whether the store of the users' report does so is not known.

Change: the client uses the project's HTTP connection, which detects the end of a chunked body, in place of a client of libwebsockets. Keep-alive probes of the connection are kept. A body that ends with its connection is refused as before.

Tests: unit_control closed_connection_never_repeats_a_request has rows for a body in chunks (status 0 before, 200 after) and for one without a length.

--- a/libs/control/include/poplarport/control/client.hpp
+++ b/libs/control/include/poplarport/control/client.hpp
@@ -22,10 +22,11 @@
     bool may_have_been_sent{false};              ///< on error: whether the server may have received and run the request
 };
 
-/// @brief HTTP/1.1 client for short requests with buffered bodies, based on libwebsockets.
+/// @brief HTTP/1.1 client for short requests with buffered bodies.
 ///
 /// Each request is written at most once, on a separate connection that is closed afterwards. Redirects are returned,
-/// not followed. Proxy settings of the environment are ignored.
+/// not followed. Proxy settings of the environment are ignored. The body of a response has a stated length or is
+/// chunked.
 class client
 {
   public:
--- a/libs/control/tests/unit-single_copy.cpp
+++ b/libs/control/tests/unit-single_copy.cpp
@@ -103,7 +103,9 @@
     }
 };
 
-// A closed connection, a redirect or an incomplete response must not cause a second copy of the request.
+// A closed connection, a redirect or an incomplete response must not cause a second copy of the request. A response in
+// chunks is a response: a store that sends larger objects so was once without use, and the configuration stayed as it
+// was.
 TEST(single_copy, closed_connection_never_repeats_a_request)
 {
     const std::string redirect = "HTTP/1.1 302 Found\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n";
@@ -122,7 +124,10 @@
         {"asks for credentials", "HTTP/1.1 401 No\r\nWWW-Authenticate: Basic\r\nContent-Length: 0\r\n\r\n", 1, false,
          401},
         {"is unavailable", "HTTP/1.1 503 No\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n", 1, false, 503},
+        {"closes after a body without a length", "HTTP/1.1 200 OK\r\n\r\nok", 1, false, 0},
         {"answers", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1, false, 200},
+        {"answers in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", 1,
+         false, 200},
     };
     for (const peer_case& test_case : cases)
     {
@@ -142,6 +147,8 @@
         UNSIGNED_LONGS_EQUAL_TEXT(1, replies.size(), test_case.name);
         UNSIGNED_LONGS_EQUAL_TEXT(test_case.status, replies[0].response ? replies[0].response->status : 0,
                                   test_case.name);
+        STRCMP_EQUAL_TEXT(test_case.status == 200 ? "ok" : "",
+                          replies[0].response ? replies[0].response->body.c_str() : "", test_case.name);
         const bool is_sent = this->request_copies() == 1;
         CHECK_TRUE_TEXT(replies[0].response.has_value() || !is_sent || replies[0].may_have_been_sent, test_case.name);
     }
--- a/libs/http/include/poplarport/http/client_connection.hpp
+++ b/libs/http/include/poplarport/http/client_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>       // seconds
 #include <cstddef>      // size_t
 #include <functional>   // function
 #include <memory>       // shared_ptr
@@ -51,6 +52,11 @@
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
 
+    /// @brief Detects the loss of the remote machine while the connection is idle, by TCP keep-alive probes.
+    /// @param[in] interval idle time before the first probe, and time between two probes
+    /// @param[in] probes   unanswered probes after which the connection ends
+    virtual void set_keep_alive(std::chrono::seconds interval, int probes) = 0;
+
     /// @brief Starts a request; the connection must be idle.
     virtual void start(const request_header& header, hooks events) = 0;
 
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -69,6 +69,11 @@
                                          }});
     }
 
+    void set_keep_alive(std::chrono::seconds interval, int probes) override
+    {
+        this->socket->set_keep_alive(interval, probes);
+    }
+
     void start(const request_header& header, hooks new_hooks) override
     {
         this->events = std::make_shared<hooks>(std::move(new_hooks));
--- a/libs/net/include/poplarport/net/stream_socket.hpp
+++ b/libs/net/include/poplarport/net/stream_socket.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>       // seconds
 #include <cstddef>      // size_t
 #include <functional>   // function
 #include <memory>       // shared_ptr, unique_ptr
@@ -68,6 +69,11 @@
     /// @brief Pauses or resumes reading; while it is paused, TCP flow control throttles the sender.
     void set_reading(bool enabled);
 
+    /// @brief Lets the kernel probe an idle connection, so that it ends if the remote machine no longer responds.
+    /// @param[in] interval idle time before the first probe, and time between two probes
+    /// @param[in] probes   unanswered probes after which the connection ends
+    void set_keep_alive(std::chrono::seconds interval, int probes);
+
     /// @brief Shuts down the sending direction once the output buffer is empty.
     void finish_output();
 
--- a/libs/net/src/stream_socket.cpp
+++ b/libs/net/src/stream_socket.cpp
@@ -320,6 +320,22 @@
     }
 }
 
+void stream_socket::set_keep_alive(std::chrono::seconds interval, int probes)
+{
+    const auto set = [this](int level, int option, int value)
+    {
+        ::setsockopt(this->data->descriptor, level, option, &value, sizeof value);
+    };
+    if (this->data->connection == nullptr)
+    {
+        return;
+    }
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(interval.count()));
+    set(IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(interval.count()));
+    set(IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
 void stream_socket::finish_output()
 {
     if (this->data->closed || this->data->output_finished)
