Read each object of the store on its own, with bounded nesting

Cause: the client of the store parsed a response as one value and wrote each spec and status back to text, which recurses once a level; a number or a text that the parser rejects spoiled the whole response. A page of unreadable objects was requested for ever, and fields of another type threw through the event loop.

Change: json_text splits a response into its parts without parsing them and parses with at most 64 levels; spec and status stay text. All JSON from outside goes through it, and documents from members through the check of nesting that datagrams had.

--- a/apps/poplarctl/src/platform_client.cpp
+++ b/apps/poplarctl/src/platform_client.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "poplarport/json_text/json_text.hpp"
 #include "poplarport/net/timer.hpp"
 
 namespace poplarport::poplarctl
@@ -58,13 +59,13 @@
     {
         return {.is_successful = true};
     }
-    const json node = json::parse(reply.response->body, nullptr, false);
+    const json node = json_text::parse(reply.response->body);
     const core::version version = version_of(node);
     if (reply.response->status != control::status::ok || version == 0 || !node.contains("value"))
     {
         return {.error = "the platform responded with status " + std::to_string(reply.response->status)};
     }
-    return {.is_successful = true, .version = version, .value = node["value"].dump()};
+    return {.is_successful = true, .version = version, .value = json_text::dump(node["value"])};
 }
 
 object_write platform_client::write(const std::string& key, std::string value, core::version expected_version)
@@ -84,7 +85,7 @@
     {
         return {};
     }
-    const core::version version = version_of(json::parse(reply.response->body, nullptr, false));
+    const core::version version = version_of(json_text::parse(reply.response->body));
     if (reply.response->status == control::status::precondition_failed)
     {
         return {object_write::kind::precondition_failed, version};
--- a/libs/manifest/src/service_document.cpp
+++ b/libs/manifest/src/service_document.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "detail/fields.hpp"
+#include "poplarport/json_text/json_text.hpp"
 
 namespace poplarport::manifest
 {
@@ -235,7 +236,7 @@
 std::optional<service_document> parse_document(std::string_view text, std::error_code& error)
 {
     error.clear();
-    const json node = json::parse(text, nullptr, false);
+    const json node = json_text::parse(text);
     if (!node.is_object() || !node.contains("format"))
     {
         error = errc::malformed_document;
--- a/libs/mesh/src/discovery_task.cpp
+++ b/libs/mesh/src/discovery_task.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "poplarport/core/jitter.hpp"
+#include "poplarport/json_text/json_text.hpp"
 #include "poplarport/membership/rendezvous.hpp"
 #include "poplarport/observability/log_record.hpp"
 
@@ -38,16 +39,11 @@
     return is_text ? value[key].get<std::string>() : std::string{};
 }
 
-nlohmann::json parse(const std::string& text)
-{
-    return nlohmann::json::parse(text, nullptr, false);
-}
-
 // Earlier versions of the program stored the deregistration in the status.
 std::string stored_deregistration(const store::object& object)
 {
-    auto result = string_member(parse(object.spec), deregistered_key);
-    return result.empty() ? string_member(parse(object.status), deregistered_key) : result;
+    auto result = string_member(json_text::parse(object.spec), deregistered_key);
+    return result.empty() ? string_member(json_text::parse(object.status), deregistered_key) : result;
 }
 
 } // namespace
@@ -112,7 +108,7 @@
     {
         content[deregistered_key] = this->deregistered_instance;
     }
-    return content.dump();
+    return json_text::dump(content);
 }
 
 void discovery_task::read_own_object()
@@ -148,7 +144,7 @@
         this->deregistered_instance = instance;
         this->events.on_deregistered(instance);
     }
-    const auto stored_address = string_member(parse(result.value->spec), peer_key);
+    const auto stored_address = string_member(json_text::parse(result.value->spec), peer_key);
     if (stored_address == core::to_string(this->peer_address))
     {
         this->registers = true;
@@ -185,7 +181,7 @@
     std::vector<core::socket_address> addresses;
     for (const auto& each : result.value->objects)
     {
-        const auto text = string_member(parse(each.spec), peer_key);
+        const auto text = string_member(json_text::parse(each.spec), peer_key);
         const auto address = core::parse_socket_address(text);
         if (!address && (!text.empty() || stored_deregistration(each).empty()))
         {
--- a/libs/node/src/document_pull.cpp
+++ b/libs/node/src/document_pull.cpp
@@ -9,6 +9,7 @@
 
 #include "poplarport/node/detail/peer_channel.hpp"
 #include "poplarport/wire/compression.hpp"
+#include "poplarport/wire/detail/cbor_value.hpp"
 
 namespace poplarport::node::detail
 {
@@ -29,7 +30,7 @@
 
 std::optional<pulled_document> parse_pulled(const std::string& body)
 {
-    const auto value = nlohmann::json::from_cbor(body, true, false);
+    const auto value = wire::detail::parse_cbor(body);
     if (!value.is_object() || !value.contains("version") || !value["version"].is_number_unsigned() ||
         !value.contains("content") || !value["content"].is_string())
     {
--- a/libs/node/src/forwarding.cpp
+++ b/libs/node/src/forwarding.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "poplarport/json_text/json_text.hpp"
+
 namespace poplarport::node::detail
 {
 
@@ -88,7 +90,7 @@
                               {"code", code.value()},
                               {"message", code.message()},
                               {"request_id", request}};
-    return body.dump() + "\n";
+    return json_text::dump(body) + "\n";
 }
 
 } // namespace poplarport::node::detail
--- a/libs/node/src/node_administration.cpp
+++ b/libs/node/src/node_administration.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "poplarport/json_text/json_text.hpp"
 #include "poplarport/node/detail/node_state.hpp"
 
 namespace poplarport::node
@@ -100,7 +101,7 @@
                           {"queued", load.queued},
                           {"service_time_us", load.service_time.count()}};
     }
-    return status.dump(2) + "\n";
+    return json_text::dump(status, 2) + "\n";
 }
 
 void node::state::add_gauges()
--- a/libs/node/src/platform_client.cpp
+++ b/libs/node/src/platform_client.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "poplarport/json_text/json_text.hpp"
+
 namespace poplarport::node
 {
 
@@ -30,7 +32,7 @@
     {
         return result;
     }
-    const auto body = nlohmann::json::parse(reply.response->body, nullptr, false);
+    const auto body = json_text::parse(reply.response->body);
     if (!body.is_object() || !body.contains("version") || !body["version"].is_number_unsigned() ||
         !body.contains("value"))
     {
@@ -38,7 +40,7 @@
     }
     result.responded = true;
     result.version = body["version"].get<core::version>();
-    result.value = body["value"].dump();
+    result.value = json_text::dump(body["value"]);
     return result;
 }
 
--- a/libs/node/src/seeds_codec.cpp
+++ b/libs/node/src/seeds_codec.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "poplarport/json_text/json_text.hpp"
+
 namespace poplarport::node::detail
 {
 
@@ -19,12 +21,12 @@
     const nlohmann::json value{{"seeds", std::move(seeds)},
                                {"lease_holder", document.lease_holder},
                                {"lease_end_ms", document.lease_end.time_since_epoch().count()}};
-    return value.dump();
+    return json_text::dump(value);
 }
 
 std::optional<membership::seeds_document> decode_seeds(const std::string& text)
 {
-    const auto value = nlohmann::json::parse(text, nullptr, false);
+    const auto value = json_text::parse(text);
     if (!value.is_object() || !value.contains("seeds") || !value["seeds"].is_array())
     {
         return std::nullopt;
