Reject upstream ids that are not printable or too long

Cause: the registry took any id, ended the sound instance for it, and the id was written into the store from a timer; the JSON library throws for bytes that are not UTF-8. An id of more than about 110 characters made the datagrams of the node undecodable.

Change: ids are 1 to 96 printable ASCII characters, whether they come from a heartbeat, a deregistration or a status check.

--- a/libs/registration/include/poplarport/registration/registry.hpp
+++ b/libs/registration/include/poplarport/registration/registry.hpp
@@ -15,7 +15,7 @@
 /// @brief Identifies one instance of an upstream, that is, one start of its process.
 struct upstream_instance
 {
-    std::string id;
+    std::string id;                 ///< 1 to 96 printable ASCII characters, without spaces
     std::uint64_t started_at_ms{0}; ///< Unix time of the process start in milliseconds; zero if not sent
 
     bool operator==(const upstream_instance&) const = default;
@@ -77,7 +77,7 @@
     std::error_code on_heartbeat(const upstream_heartbeat& heartbeat, core::time_point now);
 
     /// @brief Processes the deregistration of an instance.
-    /// @return an empty code, or `malformed` without an id, or `superseded` if another instance is current
+    /// @return an empty code, or `malformed` without a valid id, or `superseded` if another instance is current
     std::error_code on_deregistration(const upstream_instance& instance, core::time_point now);
 
     /// @brief Processes a response in which the current instance states that it leaves.
@@ -90,7 +90,7 @@
     void record_deregistration(const std::string& instance);
 
     /// @brief Registers an upstream that responds to a status check before its first heartbeat to this process.
-    /// @return whether it was registered: no heartbeat has arrived and no deregistration of it is held
+    /// @return whether it was registered: the id is valid, no heartbeat has arrived and no deregistration of it is held
     bool register_responding(const std::string& id, std::uint32_t slots, core::time_point now);
 
     [[nodiscard]] const local_upstream& current() const noexcept
--- a/libs/registration/src/registry.cpp
+++ b/libs/registration/src/registry.cpp
@@ -1,7 +1,8 @@
 #include "poplarport/registration/registry.hpp"
 
-#include <algorithm> // ranges::find
+#include <algorithm> // ranges::all_of, ranges::find
 #include <chrono>    // seconds
+#include <cstddef>   // size_t
 #include <utility>   // move
 
 namespace poplarport::registration
@@ -18,6 +19,16 @@
 // a heartbeat of another instance is a delayed one.
 constexpr std::chrono::seconds live_heartbeat_age{5};
 
+// Nodes send the id and the start time to each other in a text of limited length, and upstreams receive the id in a
+// header field.
+constexpr std::size_t max_id_length = 96;
+
+bool is_valid_id(const std::string& id) noexcept
+{
+    return !id.empty() && id.size() <= max_id_length &&
+           std::ranges::all_of(id, [](char letter) { return letter > ' ' && letter <= '~'; });
+}
+
 } // namespace
 
 std::string to_string(const upstream_instance& instance)
@@ -73,7 +84,7 @@
 
 std::error_code registry::on_deregistration(const upstream_instance& instance, core::time_point now)
 {
-    if (instance.id.empty())
+    if (!is_valid_id(instance.id))
     {
         return errc::malformed;
     }
@@ -122,7 +133,7 @@
 
 bool registry::register_responding(const std::string& id, std::uint32_t slots, core::time_point now)
 {
-    if (this->upstream.state != upstream_state::unknown || id.empty() || this->last_deregistered.starts_with(id + "@"))
+    if (this->upstream.state != upstream_state::unknown || !is_valid_id(id) || this->last_deregistered.starts_with(id + "@"))
     {
         return false;
     }
@@ -135,7 +146,7 @@
 
 std::error_code registry::check(const upstream_heartbeat& heartbeat) const
 {
-    if (heartbeat.instance.id.empty() || heartbeat.slots == 0)
+    if (!is_valid_id(heartbeat.instance.id) || heartbeat.slots == 0)
     {
         return errc::malformed;
     }
--- a/libs/registration/tests/unit-registry.cpp
+++ b/libs/registration/tests/unit-registry.cpp
@@ -184,6 +184,26 @@
     }
 }
 
+// Another writer may send ids that are not text. Such an id once became that of the local upstream; written into the
+// store, it ended the process (review/3). An id that is too long could not be sent to other nodes.
+TEST(registry, an_id_that_is_not_printable_names_no_upstream)
+{
+    for (const auto& id : {std::string{}, std::string{"\xFF\x31"}, std::string{"i 1"}, std::string{"i-1\n"},
+                           std::string(1, '\0'), std::string(97, 'i')})
+    {
+        auto registry = make_registry();
+        CHECK_FALSE(registry.register_responding(id, 9, start_time));
+        CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 100, 1), start_time));
+        CHECK(registry.on_heartbeat(make_heartbeat(id, 200, 1, true), start_time) == errc::malformed);
+        CHECK(registry.on_deregistration({id, 200}, start_time) == errc::malformed);
+        STRCMP_EQUAL("i-1", registry.current().instance.id.c_str());
+        CHECK(registry.current().state == upstream_state::ready);
+        STRCMP_EQUAL("", registry.deregistered_instance().c_str());
+    }
+    auto registry = make_registry();
+    CHECK_FALSE(registry.on_heartbeat(make_heartbeat(std::string(96, 'i'), 100, 1), start_time));
+}
+
 // A single late heartbeat must not make an upstream ready again that has deregistered under the same id, nor may the
 // late heartbeats of an instance that was replaced.
 TEST(registry, late_heartbeats_do_not_replace_a_silent_instance)
