Let the receiver own its status checks

Cause: a status check owned itself and pointed to the receiver. At the end of the event loop, after the node, the end of the check's connection used the receiver and the upstream task after they were freed.

Change: the receiver owns the checks and ends them and its attempts, without calling their hooks, when it is destroyed.

--- a/libs/node/include/poplarport/node/detail/status_check.hpp
+++ b/libs/node/include/poplarport/node/detail/status_check.hpp
@@ -12,8 +12,8 @@
 namespace poplarport::node::detail
 {
 
-/// @brief One status check of the local upstream, on a connection of the receiver's pool. It keeps itself alive until
-/// it ends.
+/// @brief One status check of the local upstream, on a connection of the receiver's pool. The receiver owns it until it
+/// ends.
 class status_check final : public std::enable_shared_from_this<status_check>
 {
   public:
@@ -21,15 +21,18 @@
 
     void start(const std::string& path, core::duration timeout);
 
+    /// @brief Ends the check without calling its hook.
+    void cancel();
+
   private:
     void end(bool responded);
+    void close_connection(bool is_reusable);
 
     receiver* owner;
     std::function<void(const http::response_header*)> hook;
     std::shared_ptr<http::client_connection> connection{};
     http::response_header response{};
     std::size_t body_bytes{0};
-    std::shared_ptr<status_check> self{};
     net::timer timer;
 };
 
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -6,6 +6,7 @@
 #include <map>           // map
 #include <memory>        // shared_ptr, unique_ptr
 #include <optional>      // optional
+#include <set>           // set
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
@@ -176,6 +177,7 @@
     std::uint32_t connection_limit{0};
     admission::gate gate;
     std::unordered_map<std::string, std::shared_ptr<detail::local_channel>> channels{};
+    std::set<std::shared_ptr<detail::status_check>> checks{}; ///< status checks in progress
     net::timer expiry_timer;
     net::timer drain_timer;
     std::uint64_t last_ticket{0};
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm> // max
 #include <chrono>    // milliseconds
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include "poplarport/node/detail/local_channel.hpp"
 #include "poplarport/node/detail/slow_vm_threshold.hpp"
@@ -104,7 +104,18 @@
     this->act_on(this->gate.set_limits(to_gate_limits(limits), event_loop.now()));
 }
 
-receiver::~receiver() = default;
+receiver::~receiver()
+{
+    // The connections of attempts and checks outlive the receiver if the event loop or a caller still holds them.
+    for (const auto& [ticket, channel] : std::exchange(this->channels, {}))
+    {
+        channel->cancel();
+    }
+    for (const auto& check : std::exchange(this->checks, {}))
+    {
+        check->cancel();
+    }
+}
 
 std::shared_ptr<attempt_channel> receiver::start(http::request_header header, received_call call,
                                                  attempt_channel::hooks callbacks)
@@ -251,7 +262,9 @@
 void receiver::check(const std::string& path, core::duration timeout,
                      std::function<void(const http::response_header*)> hook)
 {
-    std::make_shared<detail::status_check>(*this, std::move(hook))->start(path, timeout);
+    const auto check = std::make_shared<detail::status_check>(*this, std::move(hook));
+    this->checks.insert(check);
+    check->start(path, timeout);
 }
 
 void receiver::drain()
--- a/libs/node/src/status_check.cpp
+++ b/libs/node/src/status_check.cpp
@@ -23,10 +23,9 @@
     this->connection = this->owner->pool->acquire();
     if (!this->connection)
     {
-        this->hook(nullptr);
+        this->end(false);
         return;
     }
-    this->self = this->shared_from_this();
     this->timer.schedule(timeout);
     http::request_header header;
     header.method = "GET";
@@ -55,19 +54,35 @@
 
 void status_check::end(bool responded)
 {
-    const auto kept_alive = std::exchange(this->self, nullptr);
-    if (!kept_alive)
+    const auto self = this->shared_from_this();
+    if (this->owner->checks.erase(self) == 0)
     {
         return;
     }
+    this->close_connection(responded);
+    const auto done = std::exchange(this->hook, {});
+    done(responded ? &this->response : nullptr);
+}
+
+void status_check::cancel()
+{
+    this->hook = {};
+    this->close_connection(false);
+}
+
+void status_check::close_connection(bool is_reusable)
+{
     this->timer.cancel();
-    if (!responded)
+    const auto closing = std::exchange(this->connection, nullptr);
+    if (!closing)
     {
-        this->connection->abort();
+        return;
     }
-    this->owner->pool->release(std::exchange(this->connection, nullptr));
-    const auto done = std::exchange(this->hook, {});
-    done(responded ? &this->response : nullptr);
+    if (!is_reusable)
+    {
+        closing->abort();
+    }
+    this->owner->pool->release(closing);
 }
 
 } // namespace poplarport::node::detail
--- a/libs/node/tests/unit-receiver.cpp
+++ b/libs/node/tests/unit-receiver.cpp
@@ -305,3 +305,46 @@
         CHECK_FALSE(system.check());
     }
 }
+
+// A node that stops destroys its receiver while a status check waits for a silent upstream. The end of the check's
+// connection, or its time-out, must not reach the destroyed receiver: a third of the planned stops crashed (review/stop).
+TEST(receiver, a_status_check_does_not_outlive_the_receiver)
+{
+    net::event_loop loop;
+    std::vector<std::unique_ptr<net::stream_socket>> accepted;
+    const net::listener silent_upstream{loop,
+                                        {"127.0.0.1", 0},
+                                        [&accepted](std::unique_ptr<net::stream_socket> socket)
+                                        {
+                                            accepted.push_back(std::move(socket));
+                                        }};
+    const auto protocol = node::default_call_protocol();
+    node::receiver_limits limits;
+    limits.connection_limit = 2;
+    auto tested = std::make_unique<node::receiver>(loop, silent_upstream.address(), protocol, limits,
+                                                   node::receiver::hooks{});
+    bool has_ended = false;
+    const auto check = [&](core::duration timeout)
+    {
+        tested->check("/health", timeout, [&has_ended](const http::response_header*) { has_ended = true; });
+    };
+    check(50ms);
+    check(10s);
+    while (accepted.size() < 2)
+    {
+        loop.run_once();
+    }
+    tested.reset();
+    accepted.clear();
+    bool is_over = false;
+    net::timer limit{loop, [&]
+                     {
+                         is_over = true;
+                     }};
+    limit.schedule(100ms);
+    while (!is_over)
+    {
+        loop.run_once();
+    }
+    CHECK_FALSE(has_ended);
+}
