Refuse connections as soon as a listener stops

Cause: a stopping node accepted the pending connections, but its listening socket was closed in a later iteration of the event loop; the kernel established connections until then and reset them. The listener for peers did not accept what was pending at all.

Change: listener::stop accepts what is pending and shuts the socket down at once. A filter that drops opening packets was tried and taken out: it also drops the last packet of a handshake and leaves its caller waiting.

--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -75,7 +75,7 @@
 {
     if (this->data->listener)
     {
-        this->data->listener->accept_pending();
+        this->data->listener->stop();
     }
     this->data->listener.reset();
 }
--- a/libs/net/include/poplarport/net/listener.hpp
+++ b/libs/net/include/poplarport/net/listener.hpp
@@ -43,10 +43,11 @@
     /// @throw std::system_error with errc::listen_failed
     void listen();
 
-    /// @brief Accepts the connections that the kernel has already established.
+    /// @brief Accepts the connections that the kernel has already established, and refuses all later ones.
     ///
-    /// Closing the socket would reset them, although their callers may have sent requests.
-    void accept_pending();
+    /// Closing the socket alone would reset those that are not yet accepted, although their callers may have sent
+    /// requests. A stopped listener does not listen again.
+    void stop();
 
     /// @return the local address, with the port in use
     [[nodiscard]] const core::socket_address& address() const noexcept;
@@ -59,6 +60,7 @@
     core::socket_address bound_address;
     accept_hook hook;
     int descriptor{-1};
+    bool is_stopped{false};
     std::unique_ptr<detail::descriptor_watch> watch;
 };
 
--- a/libs/net/src/listener.cpp
+++ b/libs/net/src/listener.cpp
@@ -55,7 +55,7 @@
 
 listener::~listener()
 {
-    if (!this->watch)
+    if (!this->watch && !this->is_stopped)
     {
         ::close(this->descriptor);
     }
@@ -81,12 +81,21 @@
     return this->bound_address;
 }
 
-void listener::accept_pending()
+void listener::stop()
 {
+    if (!this->watch)
+    {
+        return;
+    }
+    this->accept_up_to(backlog_connections);
     if (this->watch)
     {
-        this->accept_up_to(backlog_connections);
+        // The event loop closes the descriptor in a later iteration; until then, the kernel would establish
+        // connections.
+        ::shutdown(this->watch->descriptor(), SHUT_RDWR);
+        this->watch.reset();
     }
+    this->is_stopped = true;
 }
 
 void listener::accept_all()
--- a/libs/net/tests/unit-sockets.cpp
+++ b/libs/net/tests/unit-sockets.cpp
@@ -4,11 +4,15 @@
 #include "poplarport/net/stream_socket.hpp"
 #include "poplarport/net/timer.hpp"
 
-#include <chrono> // seconds, milliseconds
+#include <chrono> // milliseconds, seconds
+#include <memory> // unique_ptr
 #include <string> // string
 #include <vector> // vector
 
 #include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace poplarport;
 using namespace std::chrono_literals;
@@ -222,3 +226,37 @@
     LONGS_EQUAL(2, steps);
     CHECK_FALSE(expired);
 }
+
+// A caller that connects before the socket stops listening must be accepted, and one that connects later must be
+// refused. A connection that is established and then reset leaves its caller without knowledge of whether its request
+// was run: a planned stop had one such request in some thousand.
+TEST(sockets, a_stopped_listener_accepts_earlier_connections_and_refuses_later_ones)
+{
+    net::event_loop loop;
+    std::vector<std::unique_ptr<net::stream_socket>> accepted;
+    net::listener server{loop, this->loopback,
+                         [&](std::unique_ptr<net::stream_socket> socket)
+                         {
+                             accepted.push_back(std::move(socket));
+                         }};
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(server.address().port);
+    const auto connect_raw = [&address](int descriptor)
+    {
+        return ::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    };
+    const int earlier = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int later = ::socket(AF_INET, SOCK_STREAM, 0);
+    CHECK(connect_raw(earlier));
+    server.stop();
+    CHECK_FALSE(connect_raw(later));
+    LONGS_EQUAL(1, accepted.size());
+    accepted[0]->send("x");
+    char byte = 0;
+    LONGS_EQUAL(1, ::recv(earlier, &byte, 1, 0));
+    ::close(earlier);
+    ::close(later);
+    loop.run_once();
+}
--- a/libs/peer/src/server.cpp
+++ b/libs/peer/src/server.cpp
@@ -89,6 +89,10 @@
 
 void server::stop_listening()
 {
+    if (this->data->listener)
+    {
+        this->data->listener->stop();
+    }
     this->data->listener.reset();
 }
 
