--- a/apps/poplarctl/src/platform_client.cpp
+++ b/apps/poplarctl/src/platform_client.cpp
@@ -35,7 +35,7 @@
 {
 }
 
-control::reply platform_client::call(const core::socket_address& server, control::request message)
+control::reply platform_client::call(const core::socket_address& server, const control::request& message)
 {
     control::reply result;
     const auto on_reply = [this, &result](const control::reply& completed)
@@ -43,7 +43,7 @@
         result = completed;
         this->loop.stop();
     };
-    this->client.send(server, std::move(message), call_timeout, on_reply);
+    this->client.send(server, message, call_timeout, on_reply);
     this->loop.run();
     return result;
 }
@@ -80,7 +80,7 @@
     {
         message.headers.push_back({"if-match", "\"" + std::to_string(expected_version) + "\""});
     }
-    const control::reply reply = this->call(this->platform, std::move(message));
+    const control::reply reply = this->call(this->platform, message);
     if (!reply.response.has_value())
     {
         return {};
--- a/apps/poplarctl/src/platform_client.hpp
+++ b/apps/poplarctl/src/platform_client.hpp
@@ -48,7 +48,7 @@
     [[nodiscard]] object_write write(const std::string& key, std::string value, core::version expected_version);
 
     /// @brief Sends one request to any server and waits for its result.
-    [[nodiscard]] control::reply call(const core::socket_address& server, control::request message);
+    [[nodiscard]] control::reply call(const core::socket_address& server, const control::request& message);
 
     /// @brief Blocks until a point in time.
     void wait_until(core::time_point deadline);
--- a/libs/control/include/poplarport/control/client.hpp
+++ b/libs/control/include/poplarport/control/client.hpp
@@ -45,7 +45,7 @@
     /// @param[in] message  request; the client adds `connection`, `content-length` and `host`
     /// @param[in] timeout  limit from now to the end of the response
     /// @param[in] on_reply called once, in a later iteration of the loop
-    void send(const core::socket_address& server, request message, core::duration timeout, reply_hook on_reply);
+    void send(const core::socket_address& server, const request& message, core::duration timeout, reply_hook on_reply);
 
     /// @return the number of requests in progress
     [[nodiscard]] std::size_t in_flight() const noexcept;
--- a/libs/control/src/client.cpp
+++ b/libs/control/src/client.cpp
@@ -211,7 +211,8 @@
     }
 }
 
-void client::send(const core::socket_address& server, request message, core::duration timeout, reply_hook on_reply)
+void client::send(const core::socket_address& server, const request& message, core::duration timeout,
+                  reply_hook on_reply)
 {
     const auto exchange =
         std::make_shared<detail::client_exchange>(*this->data, *this->data->loop, std::move(on_reply));
--- a/libs/json_text/tests/unit-json_text.cpp
+++ b/libs/json_text/tests/unit-json_text.cpp
@@ -82,8 +82,7 @@
     {
         CHECK_TEXT(!json_text::split_object(whole.substr(0, length)), whole.substr(0, length).c_str());
     }
-    for (const char* const text :
-         {"{}x", "{,}", "{\"a\"}", "{\"a\":}", "{a:1}", "[1]", "{\"a\":1]"})
+    for (const char* const text : {"{}x", "{,}", "{\"a\"}", "{\"a\":}", "{a:1}", "[1]", "{\"a\":1]"})
     {
         CHECK_TEXT(!json_text::split_object(text), text);
     }
--- a/libs/node/src/platform_client.cpp
+++ b/libs/node/src/platform_client.cpp
@@ -69,7 +69,7 @@
     ++this->sent_calls;
     control::request request;
     request.path = target;
-    this->client.send(this->platform, std::move(request), timeout,
+    this->client.send(this->platform, request, timeout,
                       [this, hook = std::move(hook)](const control::reply& reply)
                       {
                           const auto result = parse_read(reply);
@@ -94,7 +94,7 @@
         request.headers.push_back({"if-match", "\"" + std::to_string(expected) + "\""});
     }
     request.body = value;
-    this->client.send(this->platform, std::move(request), call_timeout,
+    this->client.send(this->platform, request, call_timeout,
                       [this, hook = std::move(hook)](const control::reply& reply)
                       {
                           const auto status = reply.response ? reply.response->status : 0U;
--- a/libs/node/tests/unit-receiver.cpp
+++ b/libs/node/tests/unit-receiver.cpp
@@ -307,7 +307,8 @@
 }
 
 // A node that stops destroys its receiver while a status check waits for a silent upstream. The end of the check's
-// connection, or its time-out, must not reach the destroyed receiver: a third of the planned stops crashed (review/stop).
+// connection, or its time-out, must not reach the destroyed receiver: a third of the planned stops crashed
+// (review/stop).
 TEST(receiver, a_status_check_does_not_outlive_the_receiver)
 {
     net::event_loop loop;
@@ -321,8 +322,8 @@
     const auto protocol = node::default_call_protocol();
     node::receiver_limits limits;
     limits.connection_limit = 2;
-    auto tested = std::make_unique<node::receiver>(loop, silent_upstream.address(), protocol, limits,
-                                                   node::receiver::hooks{});
+    auto tested =
+        std::make_unique<node::receiver>(loop, silent_upstream.address(), protocol, limits, node::receiver::hooks{});
     bool has_ended = false;
     const auto check = [&](core::duration timeout)
     {
--- a/libs/registration/src/registry.cpp
+++ b/libs/registration/src/registry.cpp
@@ -133,7 +133,8 @@
 
 bool registry::register_responding(const std::string& id, std::uint32_t slots, core::time_point now)
 {
-    if (this->upstream.state != upstream_state::unknown || !is_valid_id(id) || this->last_deregistered.starts_with(id + "@"))
+    if (this->upstream.state != upstream_state::unknown || !is_valid_id(id) ||
+        this->last_deregistered.starts_with(id + "@"))
     {
         return false;
     }
