Shorten the time until a silent watch is replaced

Cause: a watch without a response was noticed a second after its end, and the read that follows it waited for the delay of failed calls. With a change right at the start of the silence that is about 3 s until it is in force, as long as the bound (stable_window).

Change: the response to an ended watch has 0.5 s, and the read follows at once; failed reads are delayed as before. The store of the tests lets a silent watch end at the time limit of the client instead of at the end of its wait, and the tests name what they waited for.

--- a/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
+++ b/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
@@ -84,9 +84,9 @@
     /// @brief Records that the store did not perform the step.
     void on_failed(core::time_point now, std::mt19937_64& random);
 
-    /// @brief Records that the store did not respond. The next step is a read, which shows within its short time limit
-    /// whether the store responds to this node.
-    void on_no_response(core::time_point now, std::mt19937_64& random);
+    /// @brief Records that a watch had no response. The next step is a read at once, which shows within its short time
+    /// limit whether the store responds to this node.
+    void on_no_response(core::time_point now);
 
     /// @brief Returns how long the next watch waits for a change. The watches of all watchers start at about the same
     /// time after a change; their ends are spread evenly.
--- a/libs/configuration/src/watch_schedule.cpp
+++ b/libs/configuration/src/watch_schedule.cpp
@@ -92,10 +92,11 @@
     this->failure_delay = std::min(this->failure_delay * 2, this->settings.max_failure_delay);
 }
 
-void watch_schedule::on_no_response(core::time_point now, std::mt19937_64& random)
+void watch_schedule::on_no_response(core::time_point now)
 {
+    this->in_progress = watch_step::none;
     this->has_revision = false;
-    this->on_failed(now, random);
+    this->next_step = now;
 }
 
 core::duration watch_schedule::watch_wait(std::size_t position, std::size_t watchers) const
--- a/libs/configuration/tests/unit-watch_schedule.cpp
+++ b/libs/configuration/tests/unit-watch_schedule.cpp
@@ -120,9 +120,10 @@
     CHECK(schedule.tick(true, true, start + 3s) == watch_step::read_latest);
     schedule.on_read(start + 3s, random);
     CHECK(schedule.tick(true, true, start + 3s) == watch_step::watch);
-    schedule.on_no_response(start + 5s, random);
-    CHECK(schedule.next_wakeup() <= start + 6s);
-    CHECK(schedule.tick(true, true, schedule.next_wakeup()) == watch_step::read_latest);
+    schedule.on_no_response(start + 5s);
+    CHECK(schedule.tick(true, true, start + 5s) == watch_step::read_latest);
+    schedule.on_failed(start + 6s, random);
+    CHECK(schedule.tick(true, true, start + 6s) == watch_step::none);
 }
 
 // A node that has pulled its first configuration still has a read scheduled, seconds later. It must not wait for it
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -330,7 +330,7 @@
     if (was_watching && error == store::errc::timed_out)
     {
         // The watch may have been silent since its start, so that no second failure is awaited.
-        this->watching.on_no_response(this->loop->now(), *this->random);
+        this->watching.on_no_response(this->loop->now());
         this->failures = std::max(this->failures, failures_until_replaced);
     }
     else
--- a/libs/mesh/tests/memory_store.hpp
+++ b/libs/mesh/tests/memory_store.hpp
@@ -100,11 +100,10 @@
     {
         if (this->is_silent)
         {
-            this->timers.push_back(std::make_unique<net::timer>(*this->loop,
-                                                                [hook = std::move(hook)] {
-                                                                    hook({{}, store::errc::timed_out, {}});
-                                                                }));
-            this->timers.back()->schedule(std::chrono::seconds{1});
+            this->schedule(std::chrono::seconds{1},
+                           [hook = std::move(hook)] {
+                               hook({{}, store::errc::timed_out, {}});
+                           });
             return;
         }
         store::listing result;
@@ -206,18 +205,32 @@
     }
 
   private:
-    // Ends a watch without a change after its time, or, if its connection has become silent, without a response.
+    // Ends a watch without a change after its time, or, if its connection has become silent, without a response at the
+    // time limit of the client.
     void end_watch(core::duration wait, const watch_hook& hook, std::uint64_t number)
     {
         const auto end = [this, hook, number]
         {
             const bool is_open = std::erase_if(this->content->watches, [this, number](const auto& each)
                                                { return each.client == this && each.number == number; }) > 0;
-            hook(is_open ? store::outcome<store::change_list>{store::change_list{{}, this->content->revision}, {}, {}}
-                         : store::outcome<store::change_list>{{}, store::errc::timed_out, {}});
+            if (is_open)
+            {
+                hook({store::change_list{{}, this->content->revision}, {}, {}});
+            }
+        };
+        const auto expire = [hook]
+        {
+            hook({{}, store::errc::timed_out, {}});
         };
-        this->timers.push_back(std::make_unique<net::timer>(*this->loop, end));
-        this->timers.back()->schedule(wait);
+        constexpr std::chrono::milliseconds response_time{500};
+        this->schedule(wait, end);
+        this->schedule(wait + response_time, expire);
+    }
+
+    void schedule(core::duration delay, std::function<void()> task)
+    {
+        this->timers.push_back(std::make_unique<net::timer>(*this->loop, std::move(task)));
+        this->timers.back()->schedule(delay);
     }
 
     template <typename value_type>
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -63,7 +63,7 @@
         {
             this->add(service);
         }
-        this->run_until([this] { return this->is_connected(); });
+        this->run_until([this] { return this->is_connected(); }, "all nodes know each other");
     }
 
     // Whether every node knows all nodes.
@@ -199,7 +199,7 @@
                            {
                                status = 0;
                            }});
-        this->run_until([&] { return status.has_value(); });
+        this->run_until([&] { return status.has_value(); }, method + " " + target + " has ended");
         connection->abort();
         return *status;
     }
@@ -251,7 +251,8 @@
         }
     }
 
-    void run_until(const std::function<bool()>& condition)
+    // Runs the loop until the condition holds; fails the test after ten seconds and names what was awaited.
+    void run_until(const std::function<bool()>& condition, const std::string& awaited = "the condition")
     {
         bool expired = false;
         net::timer limit{this->loop, [&]
@@ -263,7 +264,7 @@
         {
             this->loop.run_once();
         }
-        CHECK_FALSE(expired);
+        CHECK_FALSE_TEXT(expired, (awaited + " does not hold within ten seconds").c_str());
     }
 
   private:
--- a/libs/mesh/tests/unit-mesh_configuration.cpp
+++ b/libs/mesh/tests/unit-mesh_configuration.cpp
@@ -23,7 +23,7 @@
             CHECK_FALSE(this->send_heartbeat(*each));
             CHECK(this->eventually_responds(*each, "/o/1", 200));
         }
-        this->run_until([this] { return this->watchers() == watcher_count; });
+        this->run_until([this] { return this->watchers() == watcher_count; }, "six nodes watch");
         this->wait(500ms);
     }
 
@@ -160,7 +160,8 @@
             [&] {
                 return std::ranges::all_of(mesh.members,
                                            [](const auto& member) { return watched_mesh::is_in_force(*member); });
-            });
+            },
+            each.name);
         const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(mesh.loop.now() - begin);
         CHECK_TEXT(waited < each.bound, (each.name + (": " + std::to_string(waited.count()))).c_str());
     }
