--- a/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
+++ b/libs/configuration/include/poplarport/configuration/watch_schedule.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <chrono>  // milliseconds, seconds
-#include <cstddef> // size_t
-#include <cstdint> // uint8_t
-#include <random>  // mt19937_64
+#include <chrono>      // milliseconds, seconds
+#include <cstddef>     // size_t
+#include <cstdint>     // uint8_t
+#include <random>      // mt19937_64
+#include <string_view> // string_view
 
 #include "poplarport/core/time.hpp"
 
@@ -49,6 +50,9 @@
     watch         ///< wait for a change
 };
 
+/// @return the name of a step, for logs
+[[nodiscard]] std::string_view to_string(watch_step step) noexcept;
+
 /// @brief Decides when a node reads the configuration from the store and whether it watches it.
 ///
 /// Only the first-ranked members watch; the others receive new versions from members. A starting node reads a copy that
--- a/libs/configuration/src/watch_schedule.cpp
+++ b/libs/configuration/src/watch_schedule.cpp
@@ -8,6 +8,22 @@
 namespace poplarport::configuration
 {
 
+std::string_view to_string(watch_step step) noexcept
+{
+    switch (step)
+    {
+    case watch_step::read_lagging:
+        return "read, may lag";
+    case watch_step::read_latest:
+        return "read";
+    case watch_step::watch:
+        return "watch";
+    case watch_step::none:
+        break;
+    }
+    return "none";
+}
+
 watch_schedule::watch_schedule(const watch_settings& watch_settings, core::time_point now, std::mt19937_64& random)
     : settings(watch_settings), settled_at(now + (watch_settings.is_first_start ? watch_settings.max_first_settle_time
                                                                                 : watch_settings.max_settle_time)),
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -37,22 +37,6 @@
 constexpr std::chrono::milliseconds next_pull_delay{300};
 constexpr int max_concurrent_pulls = 3;
 
-std::string_view to_string(configuration::watch_step step)
-{
-    switch (step)
-    {
-    case configuration::watch_step::read_lagging:
-        return "read, may lag";
-    case configuration::watch_step::read_latest:
-        return "read";
-    case configuration::watch_step::watch:
-        return "watch";
-    case configuration::watch_step::none:
-        break;
-    }
-    return "none";
-}
-
 } // namespace
 
 configuration_task::configuration_task(net::event_loop& owner, core::node_id id, std::string zone, std::string key,
