Ignore deregistrations with an id that is not held

Cause: since an upstream with a later start time takes effect by its deregistration, one with any other id did so too. A deregistration names neither a service nor an address, so that a stray one would have taken the live upstream out of use for seconds.

Change: only the id that is held, or any id before the first heartbeat, takes effect; another one is superseded and not acknowledged.

Result: unit_registration a_deregistration_of_a_later_start fails before and passes after.

--- a/libs/registration/src/registry.cpp
+++ b/libs/registration/src/registry.cpp
@@ -92,7 +92,10 @@
     const bool names_current = this->is_current(instance) || (is_same_id && instance.started_at_ms == 0);
     if (!names_current)
     {
-        if (!this->is_later(instance) && !this->has_outlived_current(instance, now))
+        // A deregistration names neither a service nor an address, so one with another id may come from anywhere.
+        const bool is_known_id = is_same_id || this->upstream.instance.id.empty();
+        const bool is_restart = is_known_id && this->is_later(instance);
+        if (!is_restart && !this->has_outlived_current(instance, now))
         {
             return errc::superseded;
         }
--- a/libs/registration/tests/unit-registry.cpp
+++ b/libs/registration/tests/unit-registry.cpp
@@ -245,6 +245,8 @@
     auto registry = make_registry();
     CHECK_FALSE(registry.on_heartbeat(make_heartbeat("i-1", 100, 4), start_time));
     CHECK(registry.on_deregistration({"", 0}, start_time) == errc::malformed);
+    CHECK(registry.on_deregistration({"i-2", 200}, start_time) == errc::superseded);
+    CHECK(registry.current().state == upstream_state::ready);
     CHECK_FALSE(registry.on_deregistration({"i-1", 200}, start_time + 1s));
     CHECK(registry.current().state == upstream_state::left);
     STRCMP_EQUAL("i-1@200", registry.deregistered_instance().c_str());
