Limit the requests that a cold upstream gets in any second

Cause: nothing limited them; cold_remaining and Cold-Ms were not used. Change: the receiver counts the starts of the last second (admission::start_window) and permits cold_per_s x cold_over + half of cold_slack while heartbeats or status checks say that the upstream is cold (registration::cold_start), with a warm-up of one second. A restarted node assumes that its predecessor used the limit. Busy upstreams get a status check every 250 ms where a service has such a limit.

--- a/libs/admission/include/poplarport/admission/gate.hpp
+++ b/libs/admission/include/poplarport/admission/gate.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>     // max
 #include <chrono>        // milliseconds, seconds
 #include <cstddef>       // size_t
 #include <cstdint>       // uint32_t
@@ -13,6 +14,7 @@
 #include "poplarport/admission/detail/fair_queue.hpp"
 #include "poplarport/admission/errors.hpp"
 #include "poplarport/admission/start_rate.hpp"
+#include "poplarport/admission/start_window.hpp"
 #include "poplarport/admission/ticket.hpp"
 #include "poplarport/core/ids.hpp"
 #include "poplarport/core/load_report.hpp"
@@ -82,6 +84,14 @@
     /// @return the queued requests that start and those that are refused
     [[nodiscard]] changes set_max_start_rate(std::optional<double> per_second, core::time_point now);
 
+    /// @brief Limits how many requests start in any second, for an upstream that is cold.
+    /// @param[in] per_second   starts in any second; empty for no limit
+    /// @param[in] first_second starts in the first second of the gate, in which an earlier process may have used the
+    ///                         limit
+    /// @param[in] now          current time
+    /// @return the queued requests that start and those that are refused
+    [[nodiscard]] changes set_cold_limit(std::optional<double> per_second, double first_second, core::time_point now);
+
     /// @brief Refuses all later requests; queued and running requests continue within their deadlines.
     void drain() noexcept;
 
@@ -89,10 +99,10 @@
     /// @return the refused requests
     [[nodiscard]] std::vector<refusal> refuse_queued();
 
-    /// @return the minimum time between two starts, zero without a limit
+    /// @return the minimum mean time between two starts, zero without a limit
     [[nodiscard]] core::duration min_start_interval() const noexcept
     {
-        return this->max_start_rate.interval();
+        return std::max(this->max_start_rate.interval(), this->recent_starts.interval());
     }
 
     /// @return the load report to send with responses; `slots` is the current concurrency limit, or the concurrency
@@ -122,6 +132,7 @@
          core::time_point now);
 
     [[nodiscard]] bool can_start(core::time_point now) const;
+    [[nodiscard]] bool permits_start(core::time_point now) const;
     [[nodiscard]] bool meets_deadline(core::time_point deadline, core::time_point start, core::time_point now) const;
     /// @return whether a request may start regardless of the estimated service time, so that the estimate is renewed
     [[nodiscard]] bool has_exploration_capacity(core::time_point now) const noexcept;
@@ -138,6 +149,7 @@
     std::unordered_map<core::request_id, running_request> running;
     measuring::duration_estimator service_time;
     start_rate max_start_rate{};
+    start_window recent_starts;
     bool is_draining{false};
 };
 
--- a/libs/admission/src/gate.cpp
+++ b/libs/admission/src/gate.cpp
@@ -50,7 +50,7 @@
            core::time_point now)
     : active_limits(validate(std::move(initial_limits))), ramp(ramp_duration), built_at(now),
       queue(this->active_limits.tenant_weights, this->active_limits.class_weights),
-      service_time(initial_service_time, averaged_requests, now)
+      service_time(initial_service_time, averaged_requests, now), recent_starts(now)
 {
 }
 
@@ -137,6 +137,12 @@
     return this->expire(now);
 }
 
+changes gate::set_cold_limit(std::optional<double> per_second, double first_second, core::time_point now)
+{
+    this->recent_starts.set_limit(per_second, first_second);
+    return this->expire(now);
+}
+
 void gate::drain() noexcept
 {
     this->is_draining = true;
@@ -157,7 +163,7 @@
     core::load_report report;
     const auto mean_service_time = this->service_time.estimate(now);
     report.slots = this->concurrency_limit(now);
-    if (const auto interval = this->max_start_rate.interval(); interval > core::duration::zero())
+    if (const auto interval = this->min_start_interval(); interval > core::duration::zero())
     {
         // At this rate, so many requests run at the same time on average.
         const auto permitted =
@@ -165,7 +171,7 @@
         report.slots = std::max(permitted, 1U);
     }
     report.in_flight = static_cast<std::uint32_t>(this->running.size());
-    if (!this->max_start_rate.may_start(now))
+    if (!this->permits_start(now))
     {
         report.in_flight = std::max(report.in_flight, report.slots);
     }
@@ -179,7 +185,8 @@
 {
     const std::uint32_t limit = this->concurrency_limit(now);
     const double starts_before = this->queue.count_ahead_of(offered) + 1.0;
-    const auto rate_wait = this->max_start_rate.wait_for(starts_before, now);
+    const auto rate_wait =
+        std::max(this->max_start_rate.wait_for(starts_before, now), this->recent_starts.wait_for(starts_before, now));
     if (this->queue.size() == 0 && this->running.size() < limit)
     {
         return rate_wait;
@@ -192,7 +199,12 @@
 
 bool gate::can_start(core::time_point now) const
 {
-    return this->running.size() < this->concurrency_limit(now) && this->max_start_rate.may_start(now);
+    return this->running.size() < this->concurrency_limit(now) && this->permits_start(now);
+}
+
+bool gate::permits_start(core::time_point now) const
+{
+    return this->max_start_rate.may_start(now) && this->recent_starts.may_start(now);
 }
 
 std::uint32_t gate::concurrency_limit(core::time_point now) const noexcept
@@ -230,6 +242,7 @@
     this->running.emplace(admitted.id, running_request{admitted.tenant, now});
     this->service_time.on_started(now);
     this->max_start_rate.on_started(now);
+    this->recent_starts.on_started(now);
 }
 
 void gate::remove_running(const core::request_id& id)
--- a/libs/mesh/include/poplarport/mesh/adapter.hpp
+++ b/libs/mesh/include/poplarport/mesh/adapter.hpp
@@ -28,6 +28,9 @@
     std::string upstream; ///< id of the upstream that responded; empty when it sends none
     std::optional<node::upstream_load> load{};
     node::upstream_notice notice{};
+    /// Time for which the upstream stays cold, zero if it is warm; empty if the response does not state it.
+    std::optional<core::duration> cold_remaining{};
+    bool is_cold_time_malformed{false}; ///< the response states it in a form that cannot be read
 };
 
 /// @brief Connects a mesh node to the platform of its installation; every member must be set.
--- a/libs/mesh/include/poplarport/mesh/errors.hpp
+++ b/libs/mesh/include/poplarport/mesh/errors.hpp
@@ -15,7 +15,9 @@
     no_route = 1701,                ///< no route matches the request's host and path
     authority_mismatch = 1702,      ///< the request target and the Host field name different hosts
     malformed_configuration = 1703, ///< the configuration cannot be parsed
-    unreadable_request = 1705       ///< the request's id is missing, or its id or time limit is malformed
+    unreadable_request = 1705,      ///< the request's id is missing, or its id or time limit is malformed
+    malformed_cold_time = 1706,     ///< a response to a status check states a cold time that cannot be read
+    malformed_evacuation = 1707     ///< an evacuation names a zone without nodes, or its name is not that of a zone
 };
 
 /// @return the category of this library's result codes
--- a/libs/mesh/include/poplarport/mesh/settings.hpp
+++ b/libs/mesh/include/poplarport/mesh/settings.hpp
@@ -35,6 +35,15 @@
     bool operator==(const retry_settings&) const = default;
 };
 
+/// @brief By how much the requests to a cold upstream may exceed the rate that its service states.
+struct cold_start_settings
+{
+    double rate_factor{1.0}; ///< factor of the rate
+    double reserve{0.0};     ///< requests in any second in addition
+
+    bool operator==(const cold_start_settings&) const = default;
+};
+
 /// @brief Settings of a mesh node.
 struct mesh_settings
 {
@@ -47,6 +56,7 @@
     core::socket_address upstream;
     core::socket_address store;
     retry_settings retry{};
+    cold_start_settings cold_start{};
     core::duration drain_limit{std::chrono::seconds{2}}; ///< a deregistered upstream receives no work after this time
     core::duration stop_limit{std::chrono::seconds{6}};  ///< maximum duration of a planned stop
     std::size_t descriptors{4096};                       ///< maximum number of open file descriptors
--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -5,6 +5,7 @@
 #include <memory>       // shared_ptr, unique_ptr
 #include <optional>     // optional
 #include <string>       // string
+#include <string_view>  // string_view
 #include <system_error> // error_code
 
 #include "poplarport/mesh/adapter.hpp"
@@ -12,6 +13,7 @@
 #include "poplarport/net/event_loop.hpp"
 #include "poplarport/net/timer.hpp"
 #include "poplarport/node/receiver.hpp"
+#include "poplarport/registration/cold_start.hpp"
 #include "poplarport/registration/registry.hpp"
 #include "poplarport/routes/configuration.hpp"
 
@@ -75,6 +77,18 @@
         return this->max_rate;
     }
 
+    /// @return whether the upstream is cold
+    [[nodiscard]] bool is_cold() const noexcept
+    {
+        return this->cold.is_cold(this->loop->now());
+    }
+
+    /// @return requests per second that a cold upstream may get, warm-up included; empty for no limit
+    [[nodiscard]] std::optional<double> cold_limit() const noexcept
+    {
+        return this->applied_cold_limit;
+    }
+
     /// @return whether the upstream accepts work
     [[nodiscard]] bool accepting() const noexcept
     {
@@ -93,6 +107,8 @@
     void handle_load(const node::upstream_load& load);
     void handle_notice(const node::upstream_notice& notice, std::string_view source);
     void handle_failed_check();
+    void handle_cold_statement(const status_report& report);
+    void update_cold_limit(std::string_view source);
     void set_down(bool down, std::string_view reason);
     [[nodiscard]] bool awaits_response() const;
     void update(std::string_view reason);
@@ -103,6 +119,7 @@
     net::event_loop* loop;
     const adapter* platform_adapter;
     core::duration drain_limit;
+    cold_start_settings cold_rules;
     hooks events;
     registration::registry registry;
     std::unique_ptr<node::receiver> local_receiver;
@@ -111,6 +128,9 @@
     std::uint32_t published_slowdown{100};
     std::uint32_t slots{1};
     std::optional<double> max_rate{}; ///< requests per second that the upstream takes, as it stated last
+    registration::cold_start cold{};
+    std::optional<double> applied_cold_limit{};
+    core::time_point last_check_at{};
     int failed_checks{0};
     bool is_down{false};
     bool has_responded{false}; ///< the current instance has responded to a status check
--- a/libs/mesh/src/errors.cpp
+++ b/libs/mesh/src/errors.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<result::code_entry, 5> rows{{
+constexpr std::array<result::code_entry, 7> rows{{
     {1700, "no_configuration", "The node holds no configuration yet.",
      "The node has just started, and neither the store nor a peer has responded."},
     {1701, "no_route", "No route matches the request's host and path.",
@@ -19,6 +19,10 @@
      "The object was written by another program, or was truncated."},
     {1705, "unreadable_request", "The header fields of the request's id or time limit cannot be read.",
      "The caller sends no valid request id, or a malformed time limit."},
+    {1706, "malformed_cold_time", "A response to a status check states a cold time that cannot be read.",
+     "The upstream sends a negative number or text; its last readable statement holds."},
+    {1707, "malformed_evacuation", "An evacuation does not name a zone of the installation.",
+     "The operator mistyped the zone, or another program wrote the object; the other evacuations hold."},
 }};
 
 } // namespace
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -302,6 +302,10 @@
         [this] { return this->upstream->receiver().load().slowdown_percent; });
     add("poplarport_upstream_max_request_rate", "Requests per second that the upstream takes, 0 for no limit.",
         [this] { return this->upstream->max_request_rate().value_or(0.0); });
+    add("poplarport_upstream_cold", "Whether the local upstream is cold.",
+        [this] { return this->upstream->is_cold() ? 1 : 0; });
+    add("poplarport_upstream_cold_limit", "Requests in any second that a cold upstream may get, 0 for no limit.",
+        [this] { return this->upstream->cold_limit().value_or(0.0); });
     add("poplarport_upstream_requests_dispatched", "Requests sent to the upstream.",
         [this] { return this->upstream->receiver().statistics().dispatched; });
     add("poplarport_upstream_requests_refused", "Requests that admission refused.",
--- a/libs/mesh/src/settings.cpp
+++ b/libs/mesh/src/settings.cpp
@@ -63,6 +63,11 @@
     result.retry.ratio = retry.number("ratio", {0.0, 1.0});
     result.retry.reserve = static_cast<std::uint64_t>(retry.integer("reserve", {0, max_reserve}));
     result.retry.window = retry.duration("window", duration_range(max_duration));
+    constexpr double max_rate_factor = 100.0;
+    constexpr double max_cold_reserve = 10'000.0;
+    const auto cold_start = root.child("cold_start");
+    result.cold_start.rate_factor = cold_start.number("rate_factor", {1.0, max_rate_factor, 1.0});
+    result.cold_start.reserve = cold_start.number("reserve", {0.0, max_cold_reserve, 0.0});
     const auto limits = root.child("limits");
     result.stop_limit = limits.duration("stop", duration_range(max_duration));
     result.descriptors = static_cast<std::size_t>(
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -4,6 +4,7 @@
 #include <chrono>    // milliseconds, seconds
 #include <utility>   // exchange, move
 
+#include "poplarport/mesh/errors.hpp"
 #include "poplarport/node/errors.hpp"
 #include "poplarport/observability/log_record.hpp"
 
@@ -29,6 +30,12 @@
 // one heartbeat.
 constexpr std::chrono::seconds registration_delay{2};
 
+// Only responses to status checks say whether an upstream has become cold again, so a busy upstream is checked too.
+constexpr std::chrono::milliseconds cold_check_interval{250};
+
+// Part of the reserve for cold upstreams that is left unused, because requests may arrive later than they were sent.
+constexpr double unused_cold_reserve = 0.5;
+
 // Calling nodes are notified of the slowdown when it has changed by this factor, up or down, since the last notice.
 constexpr std::uint32_t min_published_change_percent = 150;
 
@@ -66,9 +73,9 @@
 upstream_task::upstream_task(net::event_loop& owner, const mesh_settings& node_settings,
                              const adapter& installation_adapter, hooks node_hooks)
     : loop(&owner), platform_adapter(&installation_adapter), drain_limit(node_settings.drain_limit),
-      events(std::move(node_hooks)), registry(node_settings.service, core::to_string(node_settings.upstream)),
-      started_at(owner.now()), check_timer(owner, [this] { this->check(); }),
-      wait_timer(owner, [this] { this->finish_load_requests(); })
+      cold_rules(node_settings.cold_start), events(std::move(node_hooks)),
+      registry(node_settings.service, core::to_string(node_settings.upstream)), started_at(owner.now()),
+      check_timer(owner, [this] { this->check(); }), wait_timer(owner, [this] { this->finish_load_requests(); })
 {
     node::receiver::hooks receiver_hooks;
     receiver_hooks.better_peers = this->events.better_peers;
@@ -110,7 +117,15 @@
 void upstream_task::apply(const routes::service& new_service)
 {
     this->service = new_service;
+    std::optional<double> cold_limit;
+    if (new_service.cold_request_rate > 0.0)
+    {
+        cold_limit = new_service.cold_request_rate * this->cold_rules.rate_factor +
+                     this->cold_rules.reserve * (1.0 - unused_cold_reserve);
+    }
+    this->cold.apply({cold_limit, new_service.cold_time});
     this->local_receiver->apply(this->limits());
+    this->update_cold_limit("configuration");
     this->update("configuration");
     this->check_new_instance();
 }
@@ -145,6 +160,8 @@
     }
     this->set_slots(heartbeat.slots);
     this->local_receiver->set_upstream(heartbeat.instance.id);
+    this->cold.on_heartbeat(heartbeat.cold_remaining, this->loop->now());
+    this->update_cold_limit("announcement");
     this->update("announcement");
     this->check_new_instance();
     if (this->registry.deregistered_instance() != deregistered_before)
@@ -203,8 +220,11 @@
 void upstream_task::check()
 {
     this->check_timer.schedule(check_interval);
+    this->update_cold_limit("time");
     const auto age = this->local_receiver->load_age();
-    const bool is_recent = age && *age < check_interval;
+    const bool is_cold_time_recent =
+        !this->cold.has_limit() || this->loop->now() - this->last_check_at < cold_check_interval;
+    const bool is_recent = age && *age < check_interval && is_cold_time_recent;
     const bool has_deregistered = this->registry.current().state == registration::upstream_state::left;
     const bool is_needless = is_recent && !this->is_down && !this->awaits_response();
     if (this->service.health_path.empty() || this->is_checking || has_deregistered || is_needless)
@@ -266,6 +286,7 @@
         return;
     }
     this->failed_checks = 0;
+    this->last_check_at = this->loop->now();
     const auto report = this->platform_adapter->read_status(*response);
     if (report.load)
     {
@@ -281,6 +302,7 @@
         this->set_slots(report.load->slots);
         this->local_receiver->set_upstream(current.instance.id);
         this->handle_notice(report.notice, "status check");
+        this->handle_cold_statement(report);
         this->has_responded = true;
         this->update("status check");
         return;
@@ -289,6 +311,7 @@
     if (is_current)
     {
         this->handle_notice(report.notice, "status check");
+        this->handle_cold_statement(report);
         this->has_responded = true;
         this->update("upstream responded to the status check");
     }
@@ -296,6 +319,41 @@
                                            : "another upstream responded to the status check");
 }
 
+void upstream_task::handle_cold_statement(const status_report& report)
+{
+    if (report.is_cold_time_malformed)
+    {
+        observability::log_record{"cold_time_rejected"}
+            .with("upstream", registration::to_string(this->registry.current().instance))
+            .with("code", make_error_code(errc::malformed_cold_time).value())
+            .with("reason", make_error_code(errc::malformed_cold_time).message())
+            .write(observability::log_level::warning);
+    }
+    if (report.cold_remaining)
+    {
+        this->cold.on_status_check(*report.cold_remaining, this->loop->now());
+        this->update_cold_limit("status check");
+    }
+}
+
+void upstream_task::update_cold_limit(std::string_view source)
+{
+    const auto limit = this->cold.limit(this->loop->now());
+    if (limit == this->applied_cold_limit)
+    {
+        return;
+    }
+    observability::log_record{"upstream_cold_limit"}
+        .with("upstream", registration::to_string(this->registry.current().instance))
+        .with("cold", this->is_cold() ? "true" : "false")
+        .with("min_interval_us", interval_of(limit))
+        .with("previous_interval_us", interval_of(this->applied_cold_limit))
+        .with("source", source)
+        .write(observability::log_level::info);
+    this->applied_cold_limit = limit;
+    this->local_receiver->set_cold_limit(limit, this->cold_rules.reserve * (1.0 - unused_cold_reserve));
+}
+
 void upstream_task::handle_failed_check()
 {
     if (++this->failed_checks >= failures_until_down)
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -6,6 +6,7 @@
 #include <map>        // map
 #include <memory>     // unique_ptr
 #include <optional>   // nullopt, optional
+#include <random>     // mt19937, random_device, uniform_int_distribution
 #include <string>     // stod, string, to_string
 #include <utility>    // move
 #include <vector>     // vector
@@ -302,18 +303,32 @@
         return protocol;
     }
 
+    // Returns an address that is free for TCP and UDP, below the ports that the system gives to outgoing connections:
+    // one of those could be in use again before the node listens on it.
     static core::socket_address free_address()
     {
-        const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
+        constexpr unsigned first_port = 30200; // the failure tests use the ports below
+        constexpr unsigned last_port = 32767;
+        static std::mt19937 random{std::random_device{}()};
+        std::uniform_int_distribution<unsigned> ports{first_port, last_port};
+        auto port = static_cast<std::uint16_t>(ports(random));
+        while (!small_mesh::can_bind(port, SOCK_STREAM) || !small_mesh::can_bind(port, SOCK_DGRAM))
+        {
+            port = static_cast<std::uint16_t>(ports(random));
+        }
+        return {"127.0.0.1", port};
+    }
+
+    static bool can_bind(std::uint16_t port, int type)
+    {
+        const int probe = ::socket(AF_INET, type, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof address;
-        const int bind_result = ::bind(probe, reinterpret_cast<const sockaddr*>(&address), length);
-        LONGS_EQUAL(0, bind_result);
-        ::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &length);
+        address.sin_port = htons(port);
+        const int bind_result = ::bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof address);
         ::close(probe);
-        return {"127.0.0.1", ntohs(address.sin_port)};
+        return bind_result == 0;
     }
 
     static std::optional<routes::configuration> parse_configuration(std::string_view text, std::string& fault)
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -123,6 +123,12 @@
     /// @brief Limits the requests per second that the upstream gets from all nodes; empty for no limit.
     void set_max_request_rate(std::optional<double> per_second);
 
+    /// @brief Limits the requests that the upstream gets in any second while it is cold.
+    /// @param[in] per_second   requests in any second; empty for no limit
+    /// @param[in] first_second requests in the first second of the receiver, in which an earlier process may have used
+    ///                         the limit
+    void set_cold_limit(std::optional<double> per_second, double first_second);
+
     /// @brief Processes a load report that the upstream sent independently of a call.
     void on_upstream_load(const upstream_load& load);
 
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -249,6 +249,11 @@
     this->act_on(this->gate.set_max_start_rate(per_second, this->loop->now()));
 }
 
+void receiver::set_cold_limit(std::optional<double> per_second, double first_second)
+{
+    this->act_on(this->gate.set_cold_limit(per_second, first_second, this->loop->now()));
+}
+
 void receiver::on_upstream_load(const upstream_load& load)
 {
     this->slowdown_percent = std::max(load.slowdown_percent, 1U);
--- a/libs/routes/include/poplarport/routes/configuration.hpp
+++ b/libs/routes/include/poplarport/routes/configuration.hpp
@@ -42,6 +42,8 @@
     std::string name;
     std::string health_path;
     std::uint32_t connection_limit{0}; ///< connections that one upstream accepts from all callers in total
+    double cold_request_rate{0.0};     ///< requests per second that a cold upstream tolerates; 0 for no limit
+    core::duration cold_time{0};       ///< maximum time for which an upstream is cold
 
     bool operator==(const service&) const = default;
 };
