Evacuate zones by objects of the store

Cause: evacuations were read nowhere, so an evacuated zone kept getting requests. Change: the library evacuation holds one copy of the evacuated zones at each node and decides when it is passed on; evacuation_task reads and watches the store at three nodes; receivers stop accepting and senders leave the zone out. Switched on by [evacuation] in the settings.

--- /dev/null
+++ b/libs/evacuation/src/replica.cpp
@@ -0,0 +1,91 @@
+#include "poplarport/evacuation/replica.hpp"
+
+namespace poplarport::evacuation
+{
+
+replica::replica(const spread_settings& spread, bool is_first_start) noexcept
+    : settings(spread), may_hold_nothing(is_first_start)
+{
+}
+
+void replica::on_peers_found(core::time_point now) noexcept
+{
+    if (!this->may_hold_nothing && this->held.revision == 0)
+    {
+        this->start_rounds(now);
+    }
+}
+
+bool replica::on_stored(const zone_state& stored, core::time_point now)
+{
+    if (stored.revision <= this->held.revision)
+    {
+        return false;
+    }
+    const bool has_changed = stored.zones != this->held.zones;
+    const bool is_first_without_zones = this->held.revision == 0 && stored.zones.empty();
+    if (is_first_without_zones)
+    {
+        // Nothing has ever been evacuated as far as this node knows; there is nothing to tell.
+        return false;
+    }
+    // A read without a change raises the revision too: an older state that is still on its way must not replace it.
+    this->held = stored;
+    if (has_changed)
+    {
+        this->start_rounds(now);
+    }
+    return has_changed;
+}
+
+received_state replica::on_received(const zone_state& received, core::time_point now)
+{
+    if (received.revision < this->held.revision)
+    {
+        return {false, true};
+    }
+    if (received.revision == this->held.revision)
+    {
+        return {};
+    }
+    const bool has_changed = received.zones != this->held.zones;
+    this->held = received;
+    if (has_changed)
+    {
+        this->start_rounds(now);
+    }
+    else if (this->next_round == core::time_point::max())
+    {
+        this->next_round = now + this->settings.idle_interval;
+    }
+    return {has_changed, false};
+}
+
+std::size_t replica::due_copies(core::time_point now)
+{
+    if (now < this->next_round)
+    {
+        return 0;
+    }
+    if (this->rounds_left > 0)
+    {
+        --this->rounds_left;
+        this->next_round = now + this->settings.round_interval;
+        return this->settings.copies;
+    }
+    if (this->held.revision == 0)
+    {
+        this->next_round = core::time_point::max();
+        return 0;
+    }
+    this->next_round = now + this->settings.idle_interval;
+    return 1;
+}
+
+void replica::start_rounds(core::time_point now) noexcept
+{
+    this->rounds_left = this->settings.rounds;
+    this->next_round = now;
+}
+
+} // namespace poplarport::evacuation
--- a/libs/mesh/include/poplarport/mesh/adapter.hpp
+++ b/libs/mesh/include/poplarport/mesh/adapter.hpp
@@ -39,6 +39,7 @@
     store::object_store* objects{nullptr};
     std::string configuration_kind; ///< kind of the object that holds the configuration
     std::string configuration_name;
+    std::string evacuation_kind; ///< kind of the objects that have the names of evacuated zones
     /// Parses a configuration; returns nothing and sets `fault` when it is malformed.
     std::function<std::optional<routes::configuration>(std::string_view text, std::string& fault)> read_configuration;
     node::call_protocol protocol{};
--- a/libs/mesh/include/poplarport/mesh/configuration_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/configuration_task.hpp
@@ -23,6 +23,14 @@
 namespace poplarport::mesh
 {
 
+/// @brief Rank of a node among those that watch the store.
+struct watch_rank
+{
+    bool has_rank{false};
+    std::size_t position{0}; ///< watchers that rank higher
+    std::size_t watchers{1}; ///< watchers with this node
+};
+
 /// @brief Keeps the configuration up to date.
 ///
 /// A few nodes watch the object store, as decided by configuration::watch_schedule; the remaining nodes pull new
@@ -68,6 +76,9 @@
         return this->document.version;
     }
 
+    /// @return the rank of this node among those that watch the store, by the members known now
+    [[nodiscard]] watch_rank current_rank();
+
     /// @return whether this node is one of those that watch the store
     [[nodiscard]] bool is_watcher() const noexcept
     {
--- a/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
+++ b/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
@@ -10,6 +10,7 @@
 #include "poplarport/mesh/configuration_task.hpp"
 #include "poplarport/mesh/discovery_task.hpp"
 #include "poplarport/mesh/entry.hpp"
+#include "poplarport/mesh/evacuation_task.hpp"
 #include "poplarport/mesh/mesh_node.hpp"
 #include "poplarport/mesh/upstream_task.hpp"
 #include "poplarport/node/gossip_task.hpp"
@@ -37,6 +38,12 @@
     void remove_member(const core::node_id& id);
     void on_deregistered(const std::string& instance, std::function<void()> done);
     void publish_slowdown();
+    void watch_evacuations();
+    void on_evacuations(const evacuation::zone_state& state);
+    void on_evacuation_notice(const core::socket_address& from, const wire::evacuation_notice& notice);
+    void send_evacuations(const evacuation::zone_state& state, std::size_t copies);
+    [[nodiscard]] bool is_evacuated(const std::string& zone) const;
+    void route_to(const membership::member& member);
     [[nodiscard]] node::service_router& router_of(const std::string& service);
     [[nodiscard]] peer::link* link_of(const core::node_id& id);
     [[nodiscard]] node::peer_document respond_to_peer(std::string_view target) const;
@@ -58,6 +65,7 @@
     std::unique_ptr<node::gossip_task> gossip{};
     std::unique_ptr<configuration_task> configuration{};
     std::unique_ptr<discovery_task> discovery{};
+    std::unique_ptr<evacuation_task> evacuations{}; ///< null if zones are never evacuated
     std::unique_ptr<entry> callers{};
     net::timer drain_timer;
     core::time_point drain_started{};
--- a/libs/mesh/include/poplarport/mesh/settings.hpp
+++ b/libs/mesh/include/poplarport/mesh/settings.hpp
@@ -4,6 +4,7 @@
 #include <cstddef> // size_t
 #include <cstdint> // uint64_t
 #include <string>  // string
+#include <vector>  // vector
 
 #include "poplarport/core/ids.hpp"
 #include "poplarport/core/socket_address.hpp"
@@ -50,7 +51,9 @@
     core::node_id id;
     std::string service; ///< service of the local upstream
     std::string availability_zone;
-    std::string cluster_secret; ///< shared by all nodes of an installation; never logged
+    std::vector<std::string> zones{}; ///< availability zones of the installation
+    bool watches_evacuations{false};  ///< operators may evacuate zones through the store
+    std::string cluster_secret;       ///< shared by all nodes of an installation; never logged
     bool is_first_start{false}; ///< all nodes of the installation start for the first time, so that nothing is stored
     listen_settings listen;
     core::socket_address upstream;
--- a/libs/mesh/include/poplarport/mesh/upstream_task.hpp
+++ b/libs/mesh/include/poplarport/mesh/upstream_task.hpp
@@ -65,6 +65,9 @@
     /// @brief Restores a deregistration that an earlier process of this node has published to other nodes.
     void record_deregistration(const std::string& instance);
 
+    /// @brief Sets whether the zone of the upstream is evacuated, so that it gets no new work.
+    void set_evacuated(bool evacuated);
+
     /// @return the receiver of calls to the upstream
     [[nodiscard]] node::receiver& receiver() noexcept
     {
@@ -132,6 +135,7 @@
     std::optional<double> applied_cold_limit{};
     core::time_point last_check_at{};
     int failed_checks{0};
+    bool is_evacuated{false};
     bool is_down{false};
     bool has_responded{false}; ///< the current instance has responded to a status check
     bool is_accepting{false};
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -148,6 +148,12 @@
     return has_rank;
 }
 
+watch_rank configuration_task::current_rank()
+{
+    const bool has_rank = this->update_watch_rank();
+    return {has_rank, this->watch_position, this->watchers};
+}
+
 std::vector<core::node_id> configuration_task::higher_ranked_members() const
 {
     std::vector<std::pair<std::uint64_t, core::node_id>> ranked;
--- a/libs/mesh/src/mesh_members.cpp
+++ b/libs/mesh/src/mesh_members.cpp
@@ -53,16 +53,12 @@
         // Peers may hold a deregistration from before a restart of this process.
         this->upstream->record_deregistration(member.deregistered_instance);
     }
-    auto& router = this->router_of(member.service);
-    if (member.accepting)
+    this->route_to(member);
+    this->configuration->update_member(member);
+    if (this->evacuations)
     {
-        router.update_member(member);
+        this->evacuations->on_members_changed(this->members.size() > 1);
     }
-    else
-    {
-        router.remove_member(member.id);
-    }
-    this->configuration->update_member(member);
     this->discovery->add_member(member.id);
 }
 
@@ -77,6 +73,23 @@
     this->members.erase(found);
     this->configuration->remove_member(id);
     this->discovery->remove_member(id);
+    if (this->evacuations)
+    {
+        this->evacuations->on_members_changed(this->members.size() > 1);
+    }
+}
+
+void mesh_node::state::route_to(const membership::member& member)
+{
+    auto& router = this->router_of(member.service);
+    if (member.accepting && !this->is_evacuated(member.availability_zone))
+    {
+        router.update_member(member);
+    }
+    else
+    {
+        router.remove_member(member.id);
+    }
 }
 
 void mesh_node::state::publish_slowdown()
@@ -116,7 +129,7 @@
         std::vector<membership::member> list;
         for (const auto& [id, each] : this->members)
         {
-            if (each.service == service && each.accepting)
+            if (each.service == service && each.accepting && !this->is_evacuated(each.availability_zone))
             {
                 list.push_back(each);
             }
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -78,6 +78,10 @@
     this->connect_store();
     this->connect_callers();
     this->add_gauges();
+    if (this->settings.watches_evacuations)
+    {
+        this->watch_evacuations();
+    }
     this->update_member(this->gossip->detector().self());
 }
 
@@ -153,6 +157,8 @@
                                          router->on_slowdown_notice(id, slowdown_percent);
                                      }
                                  },
+                                 .on_evacuation_notice = [this](const auto& from, const auto& notice)
+                                 { this->on_evacuation_notice(from, notice); },
                                  .on_superseded = [this] { this->drain(); },
                                  .on_probe_timeout =
                                      [this]
@@ -302,6 +308,10 @@
         [this] { return this->upstream->receiver().load().slowdown_percent; });
     add("poplarport_upstream_max_request_rate", "Requests per second that the upstream takes, 0 for no limit.",
         [this] { return this->upstream->max_request_rate().value_or(0.0); });
+    add("poplarport_zones_evacuated", "Availability zones that are evacuated.",
+        [this] { return this->evacuations ? this->evacuations->state().zones.size() : 0; });
+    add("poplarport_evacuations_revision", "Revision of the store at which the evacuated zones were read.",
+        [this] { return this->evacuations ? this->evacuations->state().revision : 0; });
     add("poplarport_upstream_cold", "Whether the local upstream is cold.",
         [this] { return this->upstream->is_cold() ? 1 : 0; });
     add("poplarport_upstream_cold_limit", "Requests in any second that a cold upstream may get, 0 for no limit.",
--- a/libs/mesh/src/settings.cpp
+++ b/libs/mesh/src/settings.cpp
@@ -52,6 +52,9 @@
     result.availability_zone = node.text("availability_zone", name_rule());
     result.cluster_secret = node.text("cluster_secret", node::cluster_secret_rule());
     result.is_first_start = node.boolean("first_start", false);
+    const auto evacuation = root.child("evacuation");
+    result.watches_evacuations = evacuation.boolean("watch", false);
+    result.zones = evacuation.texts("zones", name_rule());
     const auto listen = root.child("listen");
     result.listen = {listen.address("callers"), listen.address("peers"), listen.address("registration"),
                      listen.address("readiness"), listen.address("metrics")};
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -130,6 +130,12 @@
     this->check_new_instance();
 }
 
+void upstream_task::set_evacuated(bool evacuated)
+{
+    this->is_evacuated = evacuated;
+    this->update(evacuated ? "zone is evacuated" : "zone is no longer evacuated");
+}
+
 void upstream_task::set_slots(std::uint32_t new_slots)
 {
     if (new_slots != this->slots)
@@ -382,7 +388,7 @@
 void upstream_task::update(std::string_view reason)
 {
     const bool is_ready = this->registry.current().state == registration::upstream_state::ready;
-    const bool accepts = is_ready && !this->is_down && !this->awaits_response();
+    const bool accepts = is_ready && !this->is_down && !this->is_evacuated && !this->awaits_response();
     if (accepts == this->is_accepting)
     {
         return;
--- a/libs/mesh/tests/memory_store.hpp
+++ b/libs/mesh/tests/memory_store.hpp
@@ -33,6 +33,7 @@
     std::map<std::pair<std::string, std::string>, store::object> objects{};
     store::revision revision{1};
     std::vector<open_watch> watches{};
+    std::vector<std::pair<std::string, store::object>> removals{}; ///< kind and last state of each removed object
     /// What a list that may lag returns; empty if it returns the present objects.
     std::optional<std::map<std::pair<std::string, std::string>, store::object>> lagging_objects{};
 
@@ -43,12 +44,25 @@
         object.spec = spec;
         object.status = object.status.empty() ? "null" : object.status;
         object.changed_at = ++this->revision;
+        this->notify(kind, {object, false});
+    }
+
+    void erase(const std::string& kind, const std::string& name)
+    {
+        auto removed = this->objects.extract({kind, name}).mapped();
+        removed.changed_at = ++this->revision;
+        this->removals.emplace_back(kind, removed);
+        this->notify(kind, {removed, true});
+    }
+
+    void notify(const std::string& kind, const store::change& change)
+    {
         const auto open_watches = std::exchange(this->watches, {});
         for (const auto& each : open_watches)
         {
             if (each.kind == kind)
             {
-                each.hook({store::change_list{{{object, false}}, this->revision}, {}, {}});
+                each.hook({store::change_list{{change}, this->revision}, {}, {}});
             }
             else
             {
@@ -147,6 +161,13 @@
                 missed.changes.push_back({object, false});
             }
         }
+        for (const auto& [removed_kind, object] : this->content->removals)
+        {
+            if (removed_kind == kind && object.changed_at > after)
+            {
+                missed.changes.push_back({object, true});
+            }
+        }
         if (!missed.changes.empty())
         {
             this->respond<store::change_list>(once, {missed, {}, {}});
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -58,7 +58,10 @@
     memory_objects content{};
     std::vector<std::unique_ptr<member>> members{};
 
-    explicit small_mesh(const std::vector<std::string>& services)
+    /// @param[in] services  service of each node
+    /// @param[in] customize changes the settings of each node before it starts; may be empty
+    explicit small_mesh(const std::vector<std::string>& services, std::function<void(mesh_settings&)> customize = {})
+        : customize_settings(std::move(customize))
     {
         for (const auto& service : services)
         {
@@ -101,6 +104,10 @@
         settings.listen.peers = free_address();
         settings.upstream = added.upstream->address();
         settings.stop_limit = std::chrono::seconds{4};
+        if (this->customize_settings)
+        {
+            this->customize_settings(settings);
+        }
         this->start(added);
         return added;
     }
@@ -364,6 +371,7 @@
         return {.objects = target.objects.get(),
                 .configuration_kind = "configuration",
                 .configuration_name = "all",
+                .evacuation_kind = "evacuations",
                 .read_configuration = parse_configuration,
                 .protocol = make_protocol(),
                 .read_request = [this](const http::request_header&) -> std::optional<caller_request> {
@@ -376,6 +384,7 @@
                 }};
     }
 
+    std::function<void(mesh_settings&)> customize_settings;
     std::uint64_t sequence{0};
     std::uint64_t request{0};
 };
--- a/libs/node/include/poplarport/node/gossip_task.hpp
+++ b/libs/node/include/poplarport/node/gossip_task.hpp
@@ -12,6 +12,7 @@
 #include "poplarport/net/datagram_socket.hpp"
 #include "poplarport/net/event_loop.hpp"
 #include "poplarport/net/timer.hpp"
+#include "poplarport/wire/datagram.hpp"
 
 namespace poplarport::node
 {
@@ -53,6 +54,8 @@
         std::function<void(const core::node_id&, std::uint32_t)> on_idle_hint; ///< a member announced free slots
         /// A member sent a slowdown notice: the current duration of work in percent of the usual one.
         std::function<void(const core::node_id&, std::uint32_t)> on_slowdown_notice;
+        /// A node told which availability zones are evacuated.
+        std::function<void(const core::socket_address& from, const wire::evacuation_notice&)> on_evacuation_notice{};
         std::function<void()> on_superseded; ///< a later incarnation of this node id is alive elsewhere
         /// A member has not responded to a direct probe in time; others may have failed with it.
         std::function<void()> on_probe_timeout{};
--- a/libs/node/src/gossip_task.cpp
+++ b/libs/node/src/gossip_task.cpp
@@ -140,6 +140,13 @@
                                {
                                    this->events.on_slowdown_notice(notice.node, notice.slowdown_percent);
                                }
+                           },
+                           [&](const wire::evacuation_notice& notice)
+                           {
+                               if (this->events.on_evacuation_notice)
+                               {
+                                   this->events.on_evacuation_notice(from, notice);
+                               }
                            }},
         *message);
     this->schedule();
--- a/libs/wire/include/poplarport/wire/datagram.hpp
+++ b/libs/wire/include/poplarport/wire/datagram.hpp
@@ -9,6 +9,7 @@
 #include <variant>      // variant
 
 #include "poplarport/core/ids.hpp"
+#include "poplarport/evacuation/zone_state.hpp"
 #include "poplarport/membership/message.hpp"
 
 namespace poplarport::wire
@@ -32,8 +33,17 @@
     bool operator==(const slowdown_notice&) const = default;
 };
 
+/// @brief Tells a node which availability zones are evacuated.
+struct evacuation_notice
+{
+    core::node_id node; ///< the sender
+    evacuation::zone_state state{};
+
+    bool operator==(const evacuation_notice&) const = default;
+};
+
 /// @brief Any datagram that nodes exchange over UDP.
-using datagram = std::variant<membership::message, idle_hint, slowdown_notice>;
+using datagram = std::variant<membership::message, idle_hint, slowdown_notice, evacuation_notice>;
 
 /// @brief Size in bytes of the authentication tag before the CBOR of each datagram, a truncated HMAC-SHA-256.
 inline constexpr std::size_t authentication_tag_bytes = 16;
@@ -53,6 +63,11 @@
 /// @param[in] secret shared secret of the cluster
 [[nodiscard]] std::string encode(const slowdown_notice& notice, std::string_view secret);
 
+/// @brief Encodes an evacuation notice.
+/// @param[in] notice the notice
+/// @param[in] secret shared secret of the cluster
+[[nodiscard]] std::string encode(const evacuation_notice& notice, std::string_view secret);
+
 /// @brief Decodes a datagram; unknown fields are ignored.
 /// @param[in]  bytes  the datagram
 /// @param[in]  secret shared secret of the cluster
--- a/libs/wire/src/datagram.cpp
+++ b/libs/wire/src/datagram.cpp
@@ -33,6 +33,9 @@
 constexpr const char* updates_kind = "n";
 constexpr const char* idle_hint_kind = "h";
 constexpr const char* slowdown_kind = "v";
+constexpr const char* evacuation_kind = "e";
+
+constexpr std::size_t max_zones = 256;
 
 constexpr std::uint64_t max_slowdown_percent = 1'000'000;
 
@@ -173,19 +176,37 @@
     return notice;
 }
 
+datagram read_evacuation_notice(detail::value_reader& reader, std::error_code& error)
+{
+    evacuation_notice notice;
+    notice.node = reader.text("i", 1, max_name_length);
+    notice.state.revision = reader.number("r", max_number);
+    for (const auto& zone : reader.array("z", max_zones))
+    {
+        if (!zone.is_string() || zone.get_ref<const std::string&>().size() > max_name_length)
+        {
+            error = errc::malformed;
+            break;
+        }
+        notice.state.zones.insert(zone.get<std::string>());
+    }
+    return notice;
+}
+
 struct kind_entry
 {
     std::string_view kind;
     datagram (*read)(detail::value_reader&, std::error_code&);
 };
 
-constexpr std::array<kind_entry, 7> kinds{{{ping_kind, read_ping},
+constexpr std::array<kind_entry, 8> kinds{{{ping_kind, read_ping},
                                            {ack_kind, read_ack},
                                            {indirect_ping_kind, read_indirect_ping},
                                            {sync_kind, read_sync},
                                            {updates_kind, read_updates},
                                            {idle_hint_kind, read_idle_hint},
-                                           {slowdown_kind, read_slowdown_notice}}};
+                                           {slowdown_kind, read_slowdown_notice},
+                                           {evacuation_kind, read_evacuation_notice}}};
 
 } // namespace
 
@@ -205,6 +226,13 @@
                                 secret);
 }
 
+std::string encode(const evacuation_notice& notice, std::string_view secret)
+{
+    return encode_authenticated(
+        {{kind_key, evacuation_kind}, {"i", notice.node}, {"r", notice.state.revision}, {"z", notice.state.zones}},
+        secret);
+}
+
 std::optional<datagram> decode(std::string_view bytes, std::string_view secret, std::error_code& error)
 {
     error.clear();
--- a/libs/wire/tests/unit-datagram.cpp
+++ b/libs/wire/tests/unit-datagram.cpp
@@ -52,6 +52,8 @@
             membership::message{membership::member_updates{header, true, entries}},
             wire::idle_hint{"a", 9},
             wire::slowdown_notice{"a", 700},
+            wire::evacuation_notice{"a", {7, {"zone-a", "zone-b"}}},
+            wire::evacuation_notice{"a", {}},
             membership::message{membership::sync_request{{"mesh", make_mesh_member()}, 1}}};
 }
 
