Identify tenants by their keys and share their quotas over all nodes

Cause: poplar-mesh knew no tenants: upstreams got the key instead of the tenant's name, unknown keys ran, and nothing limited a tenant. Active only if the configuration has tenants.

--- a/apps/poplarctl/src/explain.cpp
+++ b/apps/poplarctl/src/explain.cpp
@@ -21,6 +21,7 @@
 #include "poplarport/routing/errors.hpp"
 #include "poplarport/settings/errors.hpp"
 #include "poplarport/store/errors.hpp"
+#include "poplarport/tenants/errors.hpp"
 #include "poplarport/wire/errors.hpp"
 
 namespace poplarport::poplarctl
@@ -38,7 +39,7 @@
         &attempts::category(), &membership::category(), &configuration::category(), &net::category(),
         &http::category(),     &control::category(),    &peer::category(),          &node::category(),
         &limits::category(),   &wire::category(),       &store::category(),         &registration::category(),
-        &mesh::category()};
+        &mesh::category(),     &tenants::category()};
     std::erase_if(all, [](const auto* category) { return category->entries().empty(); });
     std::ranges::sort(all, {}, [](const auto* category) { return category->entries().front().number; });
     return all;
--- a/libs/limits/src/errors.cpp
+++ b/libs/limits/src/errors.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr std::array<result::code_entry, 2> rows{{
-    {1400, "rate_exceeded", "The tenant's request rate at this node exceeds its limit.",
+    {1400, "rate_exceeded", "The tenant's request rate exceeds its limit.",
      "The tenant sends more requests than the manifest permits; wait for the time in Retry-After."},
     {1401, "concurrency_exceeded", "The tenant has as many requests in flight at this node as its limit permits.",
      "Responses are slow, or the tenant sends many requests concurrently."},
--- a/libs/manifest/include/poplarport/manifest/credential.hpp
+++ b/libs/manifest/include/poplarport/manifest/credential.hpp
@@ -1,19 +1,16 @@
 #pragma once
 
-#include <array>        // array
 #include <cstddef>      // size_t
-#include <cstdint>      // uint8_t
 #include <optional>     // optional
 #include <string>       // string
 #include <string_view>  // string_view
 #include <system_error> // error_code
 
+#include "poplarport/tenants/digest.hpp"
+
 namespace poplarport::manifest
 {
 
-/// @brief Length of a SHA-256 digest.
-inline constexpr std::size_t digest_bytes = 32;
-
 /// @brief Minimum length of a secret; a random secret of this length cannot be guessed from its hash.
 inline constexpr std::size_t min_secret_bytes = 16;
 
@@ -25,8 +22,8 @@
 /// Secrets are long and random, so one round is sufficient; a slow hash would cost processor time on each call.
 struct credential_hash
 {
-    std::string salt;                                ///< raw bytes
-    std::array<std::uint8_t, digest_bytes> digest{}; ///< SHA-256
+    std::string salt;         ///< raw bytes
+    tenants::digest digest{}; ///< SHA-256
 
     bool operator==(const credential_hash&) const = default;
 };
--- a/libs/manifest/src/credential.cpp
+++ b/libs/manifest/src/credential.cpp
@@ -7,6 +7,7 @@
 #include <openssl/rand.h>
 
 #include "poplarport/manifest/errors.hpp"
+#include "poplarport/tenants/digest.hpp"
 
 namespace poplarport::manifest
 {
@@ -18,17 +19,6 @@
 constexpr std::size_t min_salt_bytes = 8;
 constexpr std::size_t max_salt_bytes = 64;
 
-std::array<std::uint8_t, digest_bytes> digest_of(std::string_view salt, std::string_view secret)
-{
-    std::string input{salt};
-    input.append(secret);
-    std::array<std::uint8_t, digest_bytes> digest{};
-    // Fails only if memory is exhausted; the digest then remains zero, which matches no stored digest.
-    EVP_Digest(input.data(), input.size(), digest.data(), nullptr, EVP_sha256(), nullptr);
-    OPENSSL_cleanse(input.data(), input.size());
-    return digest;
-}
-
 std::string to_hex(const std::uint8_t* bytes, std::size_t size)
 {
     constexpr std::string_view digits = "0123456789abcdef";
@@ -102,7 +92,7 @@
     }
     credential_hash hash;
     hash.salt.assign(salt.begin(), salt.end());
-    hash.digest = digest_of(hash.salt, secret);
+    hash.digest = tenants::digest_of(hash.salt, secret);
     return hash;
 }
 
@@ -112,7 +102,7 @@
     {
         return false;
     }
-    const auto digest = digest_of(hash.salt, secret);
+    const auto digest = tenants::digest_of(hash.salt, secret);
     return CRYPTO_memcmp(digest.data(), hash.digest.data(), digest.size()) == 0;
 }
 
@@ -141,8 +131,8 @@
     }
     const auto salt = from_hex(text.substr(0, colon));
     const auto digest = from_hex(text.substr(colon + 1));
-    if (!salt.has_value() || !digest.has_value() || digest->size() != digest_bytes || salt->size() < min_salt_bytes ||
-        salt->size() > max_salt_bytes)
+    if (!salt.has_value() || !digest.has_value() || digest->size() != tenants::digest_bytes ||
+        salt->size() < min_salt_bytes || salt->size() > max_salt_bytes)
     {
         return std::nullopt;
     }
--- a/libs/mesh/include/poplarport/mesh/adapter.hpp
+++ b/libs/mesh/include/poplarport/mesh/adapter.hpp
@@ -4,6 +4,7 @@
 #include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
+#include <vector>      // vector
 
 #include "poplarport/core/ids.hpp"
 #include "poplarport/core/time.hpp"
@@ -40,12 +41,16 @@
     std::string configuration_kind; ///< kind of the object that holds the configuration
     std::string configuration_name;
     std::string evacuation_kind; ///< kind of the objects that have the names of evacuated zones
+    /// Returns a configuration without the keys of tenants, only with their digests, as nodes pass it on to each other.
+    std::function<std::string(std::string text)> remove_keys;
     /// Parses a configuration; returns nothing and sets `fault` when it is malformed.
     std::function<std::optional<routes::configuration>(std::string_view text, std::string& fault)> read_configuration;
     node::call_protocol protocol{};
     /// Reads the call parameters from a request's header fields; returns nothing when the id is
     /// missing or a field is malformed.
     std::function<std::optional<caller_request>(const http::request_header&)> read_request;
+    /// Returns the keys in a request, one for each time that the field occurs; they refer into the header.
+    std::function<std::vector<std::string_view>(const http::request_header&)> read_keys;
     std::function<status_report(const http::response_header&)> read_status;
 };
 
--- a/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
+++ b/libs/mesh/include/poplarport/mesh/detail/mesh_state.hpp
@@ -3,6 +3,7 @@
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr, unique_ptr
+#include <optional>   // optional
 #include <random>     // mt19937_64
 #include <string>     // string
 #include <vector>     // vector
@@ -12,6 +13,7 @@
 #include "poplarport/mesh/entry.hpp"
 #include "poplarport/mesh/evacuation_task.hpp"
 #include "poplarport/mesh/mesh_node.hpp"
+#include "poplarport/mesh/quota_task.hpp"
 #include "poplarport/mesh/upstream_task.hpp"
 #include "poplarport/node/gossip_task.hpp"
 #include "poplarport/node/peer_listener.hpp"
@@ -38,6 +40,13 @@
     void remove_member(const core::node_id& id);
     void on_deregistered(const std::string& instance, std::function<void()> done);
     void publish_slowdown();
+    void share_quotas();
+    [[nodiscard]] std::optional<limits::quota> quota_of(const std::string& tenant) const;
+    [[nodiscard]] core::node_id quota_owner_of(const std::string& tenant) const;
+    void update_quota_members();
+    void send_quota_reports(const core::node_id& owner, const std::vector<limits::quota_report>& reports);
+    void announce_quotas(const std::vector<limits::quota_decision>& decisions);
+    void on_quota_reports(const core::socket_address& from, const wire::quota_reports& reports);
     void watch_evacuations();
     void on_evacuations(const evacuation::zone_state& state);
     void on_evacuation_notice(const core::socket_address& from, const wire::evacuation_notice& notice);
@@ -65,7 +74,9 @@
     std::unique_ptr<node::gossip_task> gossip{};
     std::unique_ptr<configuration_task> configuration{};
     std::unique_ptr<discovery_task> discovery{};
-    std::unique_ptr<evacuation_task> evacuations{}; ///< null if zones are never evacuated
+    std::unique_ptr<evacuation_task> evacuations{};     ///< null if zones are never evacuated
+    std::unique_ptr<quota_task> quotas{};               ///< null until a configuration has tenants
+    std::shared_ptr<const routes::route_table> table{}; ///< null until the first configuration
     std::unique_ptr<entry> callers{};
     net::timer drain_timer;
     core::time_point drain_started{};
--- a/libs/mesh/include/poplarport/mesh/entry.hpp
+++ b/libs/mesh/include/poplarport/mesh/entry.hpp
@@ -12,6 +12,7 @@
 
 #include "poplarport/attempts/retry_budget.hpp"
 #include "poplarport/http/server.hpp"
+#include "poplarport/limits/tenant_limiter.hpp"
 #include "poplarport/measuring/class_durations.hpp"
 #include "poplarport/mesh/adapter.hpp"
 #include "poplarport/mesh/settings.hpp"
@@ -39,6 +40,9 @@
         std::function<void(const node::call_description&, const node::call_result&)> on_finished;
         /// Called for each request that was refused before it became a call.
         std::function<void(std::error_code)> on_refused;
+        /// Admits a request of a tenant within its quota, or refuses it; must be set if configurations have tenants.
+        std::function<limits::verdict(const tenants::tenant&)> admit_tenant{};
+        std::function<void(const std::string& tenant)> give_back{}; ///< an admitted request has not run
         std::function<std::size_t()> node_count; ///< returns the number of nodes that share the retry budgets
         /// Returns the minimum expected wait of all endpoints of a service, or nothing without an endpoint.
         std::function<std::optional<core::duration>(const std::string& service)> expected_wait;
@@ -88,6 +92,7 @@
         const routes::route* route{nullptr};
         std::string service;
         caller_request caller;
+        const tenants::tenant* tenant{nullptr}; ///< null for a request without a tenant
     };
 
     void handle_request(const std::shared_ptr<http::server_exchange>& exchange);
@@ -95,7 +100,9 @@
     [[nodiscard]] std::optional<call_context> identify(http::server_exchange& exchange);
     void begin_call(const std::shared_ptr<http::server_exchange>& exchange, const call_context& context);
     void end_call(std::uint64_t number, const node::call_description& description, const node::call_result& result);
-    void refuse(http::server_exchange& exchange, int status, std::error_code reason, core::request_id id);
+    [[nodiscard]] bool is_admitted(http::server_exchange& exchange, const call_context& context);
+    void refuse(http::server_exchange& exchange, int status, std::error_code reason, core::request_id id,
+                std::optional<core::duration> retry_delay = std::nullopt, std::string_view tenant = {});
     [[nodiscard]] core::duration retry_after(std::optional<core::duration> expected_wait, std::uint32_t priority) const;
     [[nodiscard]] attempts::retry_budget& budget_of(const std::string& service);
 
--- a/libs/mesh/src/configuration_task.cpp
+++ b/libs/mesh/src/configuration_task.cpp
@@ -371,7 +371,7 @@
         return;
     }
     this->document.version = value->version;
-    this->document.content = text;
+    this->document.content = value->has_tenants ? this->platform_adapter->remove_keys(text) : text;
     this->encoded_documents.clear();
     const auto table = std::make_shared<const routes::route_table>(std::move(*value));
     observability::log_record{"configuration_applied"}
--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -16,8 +16,10 @@
 {
 
 constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int content_too_large = 413;
+constexpr int too_many_requests = 429;
 constexpr int service_unavailable = 503;
 
 // Retries of one request, after refusals by receivers before an upstream received it, that the retry budget does not
@@ -89,6 +91,7 @@
         .with("id", description.id)
         .with("route", route)
         .with("service", description.service)
+        .with("tenant", description.tenant)
         .with("class", description.traffic_class)
         .with("configuration", static_cast<std::int64_t>(configuration))
         .with("status", result.status)
@@ -169,6 +172,10 @@
         this->refuse(*exchange, content_too_large, node::errc::body_too_large, context->caller.id);
         return;
     }
+    if (!this->is_admitted(*exchange, *context))
+    {
+        return;
+    }
     this->begin_call(exchange, *context);
 }
 
@@ -205,7 +212,34 @@
         this->refuse(exchange, not_found, errc::no_route, caller->id);
         return std::nullopt;
     }
-    return call_context{route, this->shares.next(*route).service, std::move(*caller)};
+    const tenants::tenant* tenant = nullptr;
+    if (this->table->source().has_tenants)
+    {
+        const auto identified = this->table->tenants().identify(this->platform_adapter->read_keys(header));
+        if (identified.error && !route->is_public)
+        {
+            this->refuse(exchange, unauthorized, identified.error, caller->id);
+            return std::nullopt;
+        }
+        tenant = identified.identified;
+    }
+    return call_context{route, this->shares.next(*route).service, std::move(*caller), tenant};
+}
+
+bool entry::is_admitted(http::server_exchange& exchange, const call_context& context)
+{
+    if (context.tenant == nullptr)
+    {
+        return true;
+    }
+    const auto verdict = this->events.admit_tenant(*context.tenant);
+    if (!verdict.refused)
+    {
+        return true;
+    }
+    this->refuse(exchange, too_many_requests, verdict.refused, context.caller.id, verdict.retry_after,
+                 context.tenant->name);
+    return false;
 }
 
 void entry::begin_call(const std::shared_ptr<http::server_exchange>& exchange, const call_context& context)
@@ -216,8 +250,11 @@
     node::call_description description;
     description.id = context.caller.id;
     description.service = context.service;
-    description.tenant = "-";
-    description.traffic_class = std::to_string(std::min(route.priority, lowest_priority)) + ":" + route.name;
+    description.tenant = context.tenant == nullptr ? std::string{} : context.tenant->name;
+    description.has_tenants = this->table->source().has_tenants;
+    const auto priority =
+        context.tenant == nullptr ? route.priority : context.tenant->priority.value_or(route.priority);
+    description.traffic_class = std::to_string(std::min(priority, lowest_priority)) + ":" + route.name;
     description.repeatable = route.repeatable;
     // After a pause of the process, the request may have waited for as long as the event loop is late.
     description.deadline = this->loop->now() + limit - this->loop->stall();
@@ -225,7 +262,7 @@
     {
         description.deadline = std::min(description.deadline, *this->stops_at);
     }
-    if (route.priority != 0)
+    if (priority != 0)
     {
         // A retry by the caller has less time left than the maximum that the route has received.
         auto& max_limit = this->max_time_limits[route.name];
@@ -258,14 +295,17 @@
     limits.redirects_after_shed = false;
     node::call_driver::hooks driver_hooks;
     driver_hooks.open = this->events.open;
-    driver_hooks.retry_after =
-        [this, priority = route.priority](const node::call_description& refused) -> std::optional<core::duration>
+    driver_hooks.retry_after = [this, priority](const node::call_description& refused) -> std::optional<core::duration>
     {
         return this->retry_after(this->events.expected_wait(refused.service), priority);
     };
     driver_hooks.on_finished =
         [this, number, description, route_name = route.name, version = this->table->version()](const auto& result)
     {
+        if (result.outcome == core::outcome::not_run && !description.tenant.empty())
+        {
+            this->events.give_back(description.tenant);
+        }
         if (result.outcome == core::outcome::answered)
         {
             this->latencies.add(route_name, result.latency, this->loop->now());
@@ -286,7 +326,8 @@
     this->calls.erase(number);
 }
 
-void entry::refuse(http::server_exchange& exchange, int status, std::error_code reason, core::request_id id)
+void entry::refuse(http::server_exchange& exchange, int status, std::error_code reason, core::request_id id,
+                   std::optional<core::duration> retry_delay, std::string_view tenant)
 {
     this->events.on_refused(reason);
     if (observability::is_request_logged(observability::log_level::info, id))
@@ -294,6 +335,7 @@
         observability::log_record{"request_refused"}
             .with("id", id)
             .with("target", exchange.request().target)
+            .with("tenant", tenant)
             .with("configuration", static_cast<std::int64_t>(this->table ? this->table->version() : 0))
             .with("status", status)
             .with("code", reason.value())
@@ -303,9 +345,9 @@
     node::call_description description;
     description.id = std::move(id);
     node::local_response_reason response_reason{core::outcome::not_run, reason, status, std::nullopt};
-    if (status == service_unavailable)
+    if (status == service_unavailable || retry_delay)
     {
-        response_reason.retry_after = this->retry_after(std::nullopt, 0);
+        response_reason.retry_after = this->retry_after(retry_delay, 0);
     }
     auto response = this->platform_adapter->protocol.make_local_response(description, response_reason);
     http::respond(exchange, std::move(response.header), response.body);
--- a/libs/mesh/src/mesh_members.cpp
+++ b/libs/mesh/src/mesh_members.cpp
@@ -54,6 +54,7 @@
         this->upstream->record_deregistration(member.deregistered_instance);
     }
     this->route_to(member);
+    this->update_quota_members();
     this->configuration->update_member(member);
     if (this->evacuations)
     {
@@ -71,6 +72,7 @@
     }
     this->router_of(found->second.service).remove_member(id);
     this->members.erase(found);
+    this->update_quota_members();
     this->configuration->remove_member(id);
     this->discovery->remove_member(id);
     if (this->evacuations)
--- a/libs/mesh/src/mesh_node.cpp
+++ b/libs/mesh/src/mesh_node.cpp
@@ -159,6 +159,16 @@
                                  },
                                  .on_evacuation_notice = [this](const auto& from, const auto& notice)
                                  { this->on_evacuation_notice(from, notice); },
+                                 .on_quota_reports = [this](const auto& from, const auto& reports)
+                                 { this->on_quota_reports(from, reports); },
+                                 .on_quota_decisions =
+                                     [this](const wire::quota_decisions& received)
+                                 {
+                                     if (this->quotas)
+                                     {
+                                         this->quotas->on_decisions(received.decisions);
+                                     }
+                                 },
                                  .on_superseded = [this] { this->drain(); },
                                  .on_probe_timeout =
                                      [this]
@@ -214,6 +224,15 @@
     {
         this->metrics.count_refusal(reason.value());
     };
+    hooks.admit_tenant = [this](const tenants::tenant& tenant) -> limits::verdict
+    {
+        const auto quota = this->quota_of(tenant.name);
+        return quota ? this->quotas->admit(tenant.name, *quota) : limits::verdict{};
+    };
+    hooks.give_back = [this](const std::string& tenant)
+    {
+        this->quotas->give_back(tenant);
+    };
     hooks.node_count = [this]
     {
         return this->members.size();
@@ -226,21 +245,26 @@
         std::make_unique<entry>(*this->loop, this->settings, this->platform_adapter, this->random, std::move(hooks));
 }
 
-void mesh_node::state::on_route_table(const std::shared_ptr<const routes::route_table>& table)
+void mesh_node::state::on_route_table(const std::shared_ptr<const routes::route_table>& new_table)
 {
-    this->callers->apply(table);
-    for (const auto& each : table->source().services)
+    this->table = new_table;
+    if (new_table->source().has_tenants && !this->quotas)
+    {
+        this->share_quotas();
+    }
+    this->callers->apply(new_table);
+    for (const auto& each : new_table->source().services)
     {
         this->router_of(each.name).apply(
             {.connection_limit = each.connection_limit, .zone_preference = zone_preference, .compares_all = true},
-            table->version());
+            new_table->version());
     }
-    if (const auto* const local_service = table->find_service(this->settings.service))
+    if (const auto* const local_service = new_table->find_service(this->settings.service))
     {
         this->upstream->apply(*local_service);
     }
-    this->gossip->update([&table](membership::detector& detector, core::time_point now)
-                         { detector.set_configuration_version(table->version(), now); });
+    this->gossip->update([&new_table](membership::detector& detector, core::time_point now)
+                         { detector.set_configuration_version(new_table->version(), now); });
 }
 
 void mesh_node::state::on_deregistered(const std::string& instance, std::function<void()> done)
@@ -308,6 +332,12 @@
         [this] { return this->upstream->receiver().load().slowdown_percent; });
     add("poplarport_upstream_max_request_rate", "Requests per second that the upstream takes, 0 for no limit.",
         [this] { return this->upstream->max_request_rate().value_or(0.0); });
+    add("poplarport_tenants_active", "Tenants with a quota and requests at this node in the last seconds.",
+        [this] { return this->quotas ? this->quotas->active_tenants() : 0; });
+    add("poplarport_quotas_owned", "Tenants for whose quotas this node decides.",
+        [this] { return this->quotas ? this->quotas->owned_quotas() : 0; });
+    add("poplarport_quota_requests_refused", "Requests refused because a tenant's quota was used up.",
+        [this] { return this->quotas ? this->quotas->refused_requests() : 0; });
     add("poplarport_zones_evacuated", "Availability zones that are evacuated.",
         [this] { return this->evacuations ? this->evacuations->state().zones.size() : 0; });
     add("poplarport_evacuations_revision", "Revision of the store at which the evacuated zones were read.",
--- a/libs/mesh/src/upstream_task.cpp
+++ b/libs/mesh/src/upstream_task.cpp
@@ -56,6 +56,8 @@
         std::min(needed, service.connection_limit == 0 ? default_connections : service.connection_limit);
     limits.bounds_starts = true;
     limits.drain_limit = drain_limit;
+    // Allowances at the entry keep a tenant from filling the queue; by tenant, urgent requests would wait for others.
+    limits.shares_by_tenant = false;
     // While requests of two adjacent classes wait, the more urgent class gets eight of nine starts.
     limits.class_weights = {{"0", 512.0}, {"1", 64.0}, {"2", 8.0}, {"3", 1.0}};
     return limits;
--- a/libs/mesh/tests/small_mesh.hpp
+++ b/libs/mesh/tests/small_mesh.hpp
@@ -26,7 +26,8 @@
 {
 
 /// @brief Nodes in one process, each with an upstream, that share an in-memory object store. The configuration is a
-/// line `VERSION PREFIX=SERVICE ...`; calls use the default protocol with poplarport's header fields.
+/// line `VERSION PREFIX=SERVICE ... NAME:KEY:RATE ...` of routes and tenants; routes below `/public/` are public. Calls
+/// use the default protocol with poplarport's header fields.
 class small_mesh
 {
   public:
@@ -43,6 +44,8 @@
         std::unique_ptr<mesh_node> node;
         mesh_settings settings;
         std::vector<std::string> executed; ///< targets of the requests that the upstream executed
+        std::vector<std::string> tenants;  ///< tenants of these requests, as the upstream got them
+        std::vector<std::string> keys;     ///< keys in these requests
         int status{200};                   ///< of the upstream's responses
         int health_status{200};            ///< of the upstream's responses to status checks
         int cancelled{0};                  ///< held requests whose connection the node has ended
@@ -136,6 +139,13 @@
             return;
         }
         target.executed.push_back(exchange->request().target);
+        const auto value_of = [&exchange](const char* name)
+        {
+            const auto* const field = exchange->request().fields.find(name);
+            return field == nullptr ? std::string{} : *field;
+        };
+        target.tenants.push_back(value_of(tenant_field));
+        target.keys.push_back(value_of(key_field));
         if (target.holds_responses)
         {
             target.held_exchanges.push_back(exchange);
@@ -188,10 +198,16 @@
     }
 
     // Sends one request and returns the status of its response, 0 when there is none.
-    int call(member& caller_node, const std::string& target, const std::string& method = "GET")
+    int call(member& caller_node, const std::string& target, const std::string& method = "GET",
+             const std::string& key = {})
     {
         http::request_header header{.method = method, .target = target};
         header.fields.add("Host", "a.example");
+        if (!key.empty())
+        {
+            header.fields.add(key_field, key);
+            header.fields.add(tenant_field, "forged");
+        }
         std::optional<int> status;
         const auto connection =
             http::client_connection::connect(this->loop, caller_node.settings.listen.callers, std::chrono::seconds{5});
@@ -276,6 +292,8 @@
     }
 
   private:
+    static constexpr const char* key_field = "Test-Key";
+    static constexpr const char* tenant_field = "Test-Tenant";
     static constexpr const char* leaving_field = "Test-Leaving";
     static constexpr const char* limit_field = "Test-Limit";
 
@@ -301,6 +319,18 @@
     static node::call_protocol make_protocol()
     {
         auto protocol = node::default_call_protocol();
+        protocol.make_request =
+            [make = protocol.make_request](const auto& received, const auto& description, const auto& caller)
+        {
+            auto header = make(received, description, caller);
+            header.fields.erase(key_field);
+            header.fields.erase(tenant_field);
+            if (!description.tenant.empty())
+            {
+                header.fields.set(tenant_field, description.tenant);
+            }
+            return header;
+        };
         protocol.classify_response = [classify = protocol.classify_response](const auto& response, const auto& sent)
         {
             auto verdict = classify(response, sent);
@@ -347,12 +377,25 @@
         {
             const std::string_view rest{position + 1, static_cast<std::size_t>(end - position - 1)};
             const auto assignment = rest.substr(0, rest.find(' '));
+            if (const auto colon = assignment.find(':'); colon != std::string_view::npos)
+            {
+                const auto rate = assignment.rfind(':');
+                const double per_second = std::stod(std::string{assignment.substr(rate + 1)});
+                result.has_tenants = true;
+                result.tenants.push_back({std::string{assignment.substr(0, colon)},
+                                          {tenants::digest_of({}, assignment.substr(colon + 1, rate - colon - 1))},
+                                          std::nullopt,
+                                          {per_second, per_second}});
+                position = assignment.data() + assignment.size();
+                continue;
+            }
             const auto equals = assignment.find('=');
             routes::route route;
             route.path_prefix = assignment.substr(0, equals);
             route.name = route.path_prefix;
             route.host = "a.example";
             route.repeatable = true;
+            route.is_public = route.path_prefix.starts_with("/public/");
             route.destinations = {{std::string{assignment.substr(equals + 1)}, 1}};
             route.timeout = std::chrono::seconds{2};
             route.response_target = std::chrono::seconds{1};
@@ -372,11 +415,18 @@
                 .configuration_kind = "configuration",
                 .configuration_name = "all",
                 .evacuation_kind = "evacuations",
+                .remove_keys = [](std::string text) { return text; },
                 .read_configuration = parse_configuration,
                 .protocol = make_protocol(),
                 .read_request = [this](const http::request_header&) -> std::optional<caller_request> {
                     return caller_request{"r" + std::to_string(++this->request), std::nullopt};
                 },
+                .read_keys =
+                    [](const http::request_header& header)
+                {
+                    const auto* const key = header.fields.find(key_field);
+                    return key == nullptr ? std::vector<std::string_view>{} : std::vector<std::string_view>{*key};
+                },
                 .read_status =
                     [](const http::response_header& header)
                 {
--- a/libs/node/include/poplarport/node/call_description.hpp
+++ b/libs/node/include/poplarport/node/call_description.hpp
@@ -16,7 +16,7 @@
 {
     core::request_id id;
     std::string service;
-    std::string tenant;
+    std::string tenant; ///< name of the tenant; empty for a request without one
     std::string traffic_class;
     bool repeatable{false};
     core::time_point deadline;
@@ -24,6 +24,8 @@
     std::uint32_t depth{0};                   ///< number of calls above this one in the call chain
     std::uint32_t attempt{1};                 ///< attempts on the path of this call, 1 for a first attempt
     std::uint64_t body_limit_bytes{0};        ///< maximum size of the request body
+    /// Whether the installation has tenants, so that keys and tenant names of callers are not passed on.
+    bool has_tenants{false};
     /// Maximum size of a response that is buffered until it is complete, so that an incomplete one can be replaced by
     /// that of another attempt; 0 disables buffering.
     std::size_t max_buffered_response_bytes{0};
--- a/libs/node/include/poplarport/node/gossip_task.hpp
+++ b/libs/node/include/poplarport/node/gossip_task.hpp
@@ -56,6 +56,9 @@
         std::function<void(const core::node_id&, std::uint32_t)> on_slowdown_notice;
         /// A node told which availability zones are evacuated.
         std::function<void(const core::socket_address& from, const wire::evacuation_notice&)> on_evacuation_notice{};
+        /// A node reported the requests of tenants whose quotas this node owns.
+        std::function<void(const core::socket_address& from, const wire::quota_reports&)> on_quota_reports{};
+        std::function<void(const wire::quota_decisions&)> on_quota_decisions{}; ///< the owner of quotas has decided
         std::function<void()> on_superseded; ///< a later incarnation of this node id is alive elsewhere
         /// A member has not responded to a direct probe in time; others may have failed with it.
         std::function<void()> on_probe_timeout{};
--- a/libs/node/include/poplarport/node/receiver.hpp
+++ b/libs/node/include/poplarport/node/receiver.hpp
@@ -40,6 +40,8 @@
     /// service time of its class. Otherwise it is refused as soon as it can no longer be completed by its deadline,
     /// estimated from the mean service time.
     bool bounds_starts{false};
+    /// Whether waiting requests share the upstream by tenant. Otherwise only their class and deadline count.
+    bool shares_by_tenant{true};
     std::map<std::string, double, std::less<>> tenant_weights{};
     std::map<std::string, double, std::less<>> class_weights{};
 };
@@ -194,6 +196,7 @@
     std::optional<core::time_point> load_reported_at{}; ///< time of the upstream's latest load report
     measuring::class_durations usual_service_times{};   ///< service times at the VM's usual speed
     bool bounds_starts{false};
+    bool shares_by_tenant{true};
     core::duration queue_drain_time{0}; ///< requests still queued this long after a drain began are refused
     counters totals{};
 };
--- a/libs/node/src/gossip_task.cpp
+++ b/libs/node/src/gossip_task.cpp
@@ -147,6 +147,20 @@
                                {
                                    this->events.on_evacuation_notice(from, notice);
                                }
+                           },
+                           [&](const wire::quota_reports& reports)
+                           {
+                               if (this->events.on_quota_reports)
+                               {
+                                   this->events.on_quota_reports(from, reports);
+                               }
+                           },
+                           [&](const wire::quota_decisions& decisions)
+                           {
+                               if (this->events.on_quota_decisions)
+                               {
+                                   this->events.on_quota_decisions(decisions);
+                               }
                            }},
         *message);
     this->schedule();
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -22,6 +22,9 @@
     return limits.drain_limit * 3 / 4;
 }
 
+// Tenant of all requests if they do not share the upstream by tenant.
+constexpr const char* all_tenants = "-";
+
 // Usual service time before the first request has ended. Without an assumption, the first requests would start on a
 // slow VM and stay slow.
 constexpr std::chrono::milliseconds assumed_service_time{100};
@@ -100,6 +103,7 @@
                   })
 {
     this->bounds_starts = limits.bounds_starts;
+    this->shares_by_tenant = limits.shares_by_tenant;
     this->queue_drain_time = queue_drain_time_of(limits);
     this->act_on(this->gate.set_limits(to_gate_limits(limits), event_loop.now()));
 }
@@ -121,7 +125,8 @@
                                                  attempt_channel::hooks callbacks)
 {
     const auto ticket = call.id + "/" + std::to_string(++this->last_ticket);
-    const admission::ticket offered{ticket, call.tenant, base_class_of(call.traffic_class), this->ticket_deadline(call),
+    const admission::ticket offered{ticket, this->shares_by_tenant ? call.tenant : std::string{all_tenants},
+                                    base_class_of(call.traffic_class), this->ticket_deadline(call),
                                     call.best_peer_wait};
     auto channel = std::make_shared<detail::local_channel>(*this, ticket, std::move(header), std::move(call),
                                                            std::move(callbacks));
@@ -218,6 +223,7 @@
         this->pool->set_connection_limit(this->connection_limit);
     }
     this->bounds_starts = limits.bounds_starts;
+    this->shares_by_tenant = limits.shares_by_tenant;
     this->queue_drain_time = queue_drain_time_of(limits);
     this->act_on(this->gate.set_limits(to_gate_limits(limits), this->loop->now()));
 }
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -29,6 +29,9 @@
 // shorter wait at a peer may outweigh the additional network latency.
 constexpr double local_utilization_limit = 0.75;
 
+// Between nodes, a request without a tenant has this name, because the field must not be empty.
+constexpr const char* no_tenant = "-";
+
 std::chrono::microseconds to_microseconds(core::time_point now)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
@@ -256,7 +259,7 @@
     }
     metadata.attempt = parameters.attempt_number;
     metadata.depth = parameters.depth;
-    metadata.tenant = description.tenant;
+    metadata.tenant = description.tenant.empty() ? std::string{no_tenant} : description.tenant;
     metadata.traffic_class = description.traffic_class;
     metadata.config_version = this->config_version;
     peer::encode(metadata, sent.fields);
--- a/libs/routes/include/poplarport/routes/configuration.hpp
+++ b/libs/routes/include/poplarport/routes/configuration.hpp
@@ -7,6 +7,7 @@
 
 #include "poplarport/core/ids.hpp"
 #include "poplarport/core/time.hpp"
+#include "poplarport/tenants/tenant.hpp"
 
 namespace poplarport::routes
 {
@@ -32,6 +33,7 @@
     std::uint32_t attempts{1};         ///< maximum number of upstreams to which one request is sent
     core::duration response_target{0}; ///< response time up to which a response has its full value
     std::uint32_t priority{0};         ///< priority; 0 is the most urgent
+    bool is_public{false};             ///< requests need no key of a tenant
 
     bool operator==(const route&) const = default;
 };
@@ -66,6 +68,8 @@
     std::vector<route> routes;
     std::vector<service> services;
     caller_limits limits{};
+    bool has_tenants{false}; ///< requests need the key of a tenant, unless their route is public
+    std::vector<poplarport::tenants::tenant> tenants{};
 
     bool operator==(const configuration&) const = default;
 };
--- a/libs/routes/include/poplarport/routes/route_table.hpp
+++ b/libs/routes/include/poplarport/routes/route_table.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map> // unordered_map
 
 #include "poplarport/routes/configuration.hpp"
+#include "poplarport/tenants/directory.hpp"
 
 namespace poplarport::routes
 {
@@ -30,6 +31,12 @@
     /// @return the service, or nullptr if the configuration has none of this name
     [[nodiscard]] const service* find_service(std::string_view name) const;
 
+    /// @return the tenants of the configuration
+    [[nodiscard]] const poplarport::tenants::directory& tenants() const noexcept
+    {
+        return this->tenant_directory;
+    }
+
     /// @return the configuration that this table indexes
     [[nodiscard]] const configuration& source() const noexcept
     {
@@ -58,6 +65,7 @@
     configuration indexed_configuration;
     map_by_text<map_by_text<const route*>> routes_by_host;
     map_by_text<const service*> services_by_name;
+    poplarport::tenants::directory tenant_directory;
 };
 
 /// @return a host name in lower case and without a port
--- a/libs/routes/src/route_table.cpp
+++ b/libs/routes/src/route_table.cpp
@@ -18,7 +18,8 @@
     return normalized;
 }
 
-route_table::route_table(configuration new_configuration) : indexed_configuration(std::move(new_configuration))
+route_table::route_table(configuration new_configuration)
+    : indexed_configuration(std::move(new_configuration)), tenant_directory(this->indexed_configuration.tenants)
 {
     for (const auto& each : this->indexed_configuration.routes)
     {
--- a/libs/wire/src/datagram.cpp
+++ b/libs/wire/src/datagram.cpp
@@ -1,8 +1,11 @@
 #include "poplarport/wire/datagram.hpp"
 
-#include <array>   // array
-#include <limits>  // numeric_limits
-#include <utility> // move
+#include <algorithm> // clamp, max, min
+#include <array>     // array
+#include <chrono>    // ceil, milliseconds
+#include <cmath>     // lround
+#include <limits>    // numeric_limits
+#include <utility>   // move
 
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
@@ -34,9 +37,17 @@
 constexpr const char* idle_hint_kind = "h";
 constexpr const char* slowdown_kind = "v";
 constexpr const char* evacuation_kind = "e";
+constexpr const char* quota_reports_kind = "q";
+constexpr const char* quota_decisions_kind = "r";
 
 constexpr std::size_t max_zones = 256;
 
+// Fractions are encoded as parts of this number, times in milliseconds.
+constexpr double fraction_scale = 10'000.0;
+constexpr std::uint64_t max_fraction = 10'000;
+constexpr std::uint64_t max_requests = 10'000'000;
+constexpr std::uint64_t max_quota_time_ms = 3'600'000;
+
 constexpr std::uint64_t max_slowdown_percent = 1'000'000;
 
 std::string authentication_tag(std::string_view bytes, std::string_view secret)
@@ -193,20 +204,71 @@
     return notice;
 }
 
+std::uint64_t encode_fraction(double fraction)
+{
+    return static_cast<std::uint64_t>(std::lround(std::clamp(fraction, 0.0, 1.0) * fraction_scale));
+}
+
+double read_fraction(detail::value_reader& reader, const char* key)
+{
+    return static_cast<double>(reader.number(key, max_fraction)) / fraction_scale;
+}
+
+std::uint64_t encode_time(core::duration time)
+{
+    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(time).count();
+    return std::min(static_cast<std::uint64_t>(std::max<std::int64_t>(milliseconds, 0)), max_quota_time_ms);
+}
+
+core::duration read_time(detail::value_reader& reader, const char* key)
+{
+    return std::chrono::milliseconds{reader.number(key, max_quota_time_ms)};
+}
+
+datagram read_quota_reports(detail::value_reader& reader, std::error_code& error)
+{
+    quota_reports result;
+    result.node = reader.text("i", 1, max_name_length);
+    for (const auto& each : reader.array("q", max_quota_entries))
+    {
+        detail::value_reader entry{each, error};
+        result.reports.push_back({entry.text("n", 1, max_name_length),
+                                  static_cast<std::uint32_t>(entry.number("a", max_requests)),
+                                  static_cast<std::uint32_t>(entry.number("d", max_requests)), read_time(entry, "m"),
+                                  read_fraction(entry, "p")});
+    }
+    return result;
+}
+
+datagram read_quota_decisions(detail::value_reader& reader, std::error_code& error)
+{
+    quota_decisions result;
+    result.node = reader.text("i", 1, max_name_length);
+    for (const auto& each : reader.array("q", max_quota_entries))
+    {
+        detail::value_reader entry{each, error};
+        result.decisions.push_back({entry.text("n", 1, max_name_length), read_fraction(entry, "f"),
+                                    read_fraction(entry, "p"), read_time(entry, "w")});
+    }
+    return result;
+}
+
 struct kind_entry
 {
     std::string_view kind;
     datagram (*read)(detail::value_reader&, std::error_code&);
 };
 
-constexpr std::array<kind_entry, 8> kinds{{{ping_kind, read_ping},
-                                           {ack_kind, read_ack},
-                                           {indirect_ping_kind, read_indirect_ping},
-                                           {sync_kind, read_sync},
-                                           {updates_kind, read_updates},
-                                           {idle_hint_kind, read_idle_hint},
-                                           {slowdown_kind, read_slowdown_notice},
-                                           {evacuation_kind, read_evacuation_notice}}};
+constexpr std::array<kind_entry, 10> kinds{{{ping_kind, read_ping},
+                                            {ack_kind, read_ack},
+                                            {indirect_ping_kind, read_indirect_ping},
+                                            {sync_kind, read_sync},
+                                            {updates_kind, read_updates},
+                                            {idle_hint_kind, read_idle_hint},
+                                            {slowdown_kind, read_slowdown_notice},
+                                            {evacuation_kind, read_evacuation_notice},
+                                            {quota_reports_kind, read_quota_reports},
+                                            {quota_decisions_kind, read_quota_decisions}}};
 
 } // namespace
 
@@ -233,6 +295,34 @@
         secret);
 }
 
+std::string encode(const quota_reports& reports, std::string_view secret)
+{
+    auto list = nlohmann::json::array();
+    for (const auto& each : reports.reports)
+    {
+        list.push_back({{"n", each.tenant},
+                        {"a", each.arrivals},
+                        {"d", each.admitted},
+                        {"m", encode_time(each.interval)},
+                        {"p", encode_fraction(each.part)}});
+    }
+    return encode_authenticated({{kind_key, quota_reports_kind}, {"i", reports.node}, {"q", std::move(list)}}, secret);
+}
+
+std::string encode(const quota_decisions& decisions, std::string_view secret)
+{
+    auto list = nlohmann::json::array();
+    for (const auto& each : decisions.decisions)
+    {
+        list.push_back({{"n", each.tenant},
+                        {"f", encode_fraction(each.fraction)},
+                        {"p", encode_fraction(each.part)},
+                        {"w", encode_time(each.wait)}});
+    }
+    return encode_authenticated({{kind_key, quota_decisions_kind}, {"i", decisions.node}, {"q", std::move(list)}},
+                                secret);
+}
+
 std::optional<datagram> decode(std::string_view bytes, std::string_view secret, std::error_code& error)
 {
     error.clear();
--- a/libs/wire/tests/unit-datagram.cpp
+++ b/libs/wire/tests/unit-datagram.cpp
@@ -9,6 +9,7 @@
 #include "property.hpp"
 
 using namespace poplarport;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -54,6 +55,8 @@
             wire::slowdown_notice{"a", 700},
             wire::evacuation_notice{"a", {7, {"zone-a", "zone-b"}}},
             wire::evacuation_notice{"a", {}},
+            wire::quota_reports{"a", {{"farm", 12, 7, 250ms, 0.25}, {"shop", 0, 0, 50ms, 0.0}}},
+            wire::quota_decisions{"a", {{"farm", 0.5, 0.25, 1500ms}, {"shop", 1.0, 0.0, 0ms}}},
             membership::message{membership::sync_request{{"mesh", make_mesh_member()}, 1}}};
 }
 
