Keep connections with uploads open, and send large bodies after acceptance

Cause: a PING waits behind the body of an upload, so on a narrow link its response came later than 500 ms; the connection was closed as silent with all its calls. Bodies also crossed the link before the receiver refused the call. Change: the limit for silence counts from when a connection of 32 KB/s has delivered what was sent, at most 3 s more. A sender holds bodies of 16 KB or more back until the receiver states by a 100 that the call is queued or admitted, or 250 ms have passed (an earlier version).

--- a/libs/node/include/poplarport/node/call_protocol.hpp
+++ b/libs/node/include/poplarport/node/call_protocol.hpp
@@ -25,6 +25,7 @@
     std::uint32_t attempt{1};                       ///< attempt number, counted over all levels of the call chain
     std::optional<core::duration> best_peer_wait{}; ///< expected wait at the best peer
     std::optional<core::time_point> target{};       ///< a response after this time has little value to the caller
+    bool awaits_acceptance{false}; ///< the sender holds the body back until the call is queued or admitted
 };
 
 /// @brief Load that an upstream reports with a response.
--- a/libs/node/include/poplarport/node/detail/local_channel.hpp
+++ b/libs/node/include/poplarport/node/detail/local_channel.hpp
@@ -22,6 +22,9 @@
     /// @brief Sends the request; called when the admission gate has assigned it a slot.
     void dispatch();
 
+    /// @brief Tells a sender that holds the body back that the request is queued or admitted.
+    void notify_accepted();
+
     /// @brief Ends the attempt as refused, with proof that nothing was sent to the upstream.
     /// @param[in] better peers with a shorter expected wait, best first
     void refuse(std::error_code reason, std::vector<core::node_id> better);
--- a/libs/node/src/local_channel.cpp
+++ b/libs/node/src/local_channel.cpp
@@ -76,6 +76,16 @@
     }
 }
 
+void local_channel::notify_accepted()
+{
+    constexpr int continue_status = 100;
+    const auto callbacks = this->events;
+    if (this->call.awaits_acceptance && this->phase != state::ended && callbacks->on_interim)
+    {
+        callbacks->on_interim({.status = continue_status});
+    }
+}
+
 http::client_connection::hooks local_channel::connection_hooks()
 {
     // This channel owns the connection, so the hooks do not outlive the channel.
--- a/libs/node/src/peer_channel.cpp
+++ b/libs/node/src/peer_channel.cpp
@@ -1,5 +1,7 @@
 #include "poplarport/node/detail/peer_channel.hpp"
 
+#include <chrono>  // milliseconds
+#include <cstdint> // uint64_t
 #include <utility> // exchange, move
 #include <variant> // get, get_if
 
@@ -37,6 +39,14 @@
     return {attempts::connection_lost{}, failure.error, true, {}};
 }
 
+constexpr int continue_status = 100;
+
+// Smaller bodies cost the receiver's link less than the round trip costs the caller.
+constexpr std::uint64_t min_held_body_bytes = 16'384;
+
+// A node of an earlier version does not state that it has accepted a call.
+constexpr std::chrono::milliseconds max_acceptance_wait{250};
+
 // The receiver's result code indicates whether its upstream received the request.
 attempts::refusal_proof proof_of(std::error_code reason)
 {
@@ -52,13 +62,43 @@
 
 } // namespace
 
-peer_channel::peer_channel(hooks callbacks) : events(std::make_shared<hooks>(std::move(callbacks)))
+peer_channel::peer_channel(net::event_loop& loop, hooks callbacks)
+    : events(std::make_shared<hooks>(std::move(callbacks))), acceptance_timer(loop, [this] { this->release_body(); })
 {
 }
 
 void peer_channel::start(peer::link& link, const http::request_header& header)
 {
-    this->call = link.start(header, this->call_hooks());
+    const bool is_large = header.framing == http::body_framing::fixed && header.content_length >= min_held_body_bytes;
+    if (!is_large)
+    {
+        this->call = link.start(header, this->call_hooks());
+        return;
+    }
+    this->holds_body = true;
+    this->acceptance_timer.schedule(max_acceptance_wait);
+    auto marked = header;
+    marked.fields.set(awaits_acceptance_field, "1");
+    this->call = link.start(marked, this->call_hooks());
+}
+
+void peer_channel::release_body()
+{
+    this->acceptance_timer.cancel();
+    if (!std::exchange(this->holds_body, false) || this->ended)
+    {
+        return;
+    }
+    this->call->send_body(std::exchange(this->held_body, {}));
+    if (this->body_finished)
+    {
+        this->call->finish_request();
+    }
+    const auto callbacks = this->events;
+    if (callbacks->on_writable)
+    {
+        callbacks->on_writable();
+    }
 }
 
 peer::client_call::hooks peer_channel::call_hooks()
@@ -68,6 +108,11 @@
                 [weak](const http::response_header& interim)
             {
                 const auto self = weak.lock();
+                if (self && interim.status == continue_status)
+                {
+                    self->release_body();
+                    return;
+                }
                 if (self && self->events->on_interim)
                 {
                     self->events->on_interim(interim);
@@ -154,6 +199,7 @@
 void peer_channel::handle_end()
 {
     this->ended = true;
+    this->acceptance_timer.cancel();
     const auto callbacks = std::exchange(this->events, std::make_shared<hooks>());
     if (callbacks->on_end)
     {
@@ -169,6 +215,7 @@
 void peer_channel::fail(const attempt_failure& failure)
 {
     this->ended = true;
+    this->acceptance_timer.cancel();
     const auto callbacks = std::exchange(this->events, std::make_shared<hooks>());
     if (callbacks->on_failed)
     {
@@ -178,15 +225,22 @@
 
 void peer_channel::send_body(std::string_view bytes)
 {
-    if (!this->ended)
+    if (this->ended)
+    {
+        return;
+    }
+    if (this->holds_body)
     {
-        this->call->send_body(bytes);
+        this->held_body.append(bytes);
+        return;
     }
+    this->call->send_body(bytes);
 }
 
 void peer_channel::finish_request()
 {
-    if (!this->ended)
+    this->body_finished = true;
+    if (!this->ended && !this->holds_body)
     {
         this->call->finish_request();
     }
@@ -206,13 +260,14 @@
     {
         return;
     }
+    this->acceptance_timer.cancel();
     this->events = std::make_shared<hooks>();
     this->call->cancel();
 }
 
 std::size_t peer_channel::pending_bytes() const noexcept
 {
-    return this->ended ? 0 : this->call->pending_bytes();
+    return this->ended ? 0 : this->call->pending_bytes() + this->held_body.size();
 }
 
 bool peer_channel::has_sent_bytes() const noexcept
--- a/libs/node/src/peer_listener.cpp
+++ b/libs/node/src/peer_listener.cpp
@@ -123,6 +123,7 @@
     }
     received.depth = metadata->depth;
     received.attempt = metadata->attempt;
+    received.awaits_acceptance = header.fields.find(detail::awaits_acceptance_field) != nullptr;
     if (header.fields.find(detail::redirected_field) == nullptr)
     {
         received.best_peer_wait = this->events.best_peer_wait();
--- a/libs/node/src/receiver.cpp
+++ b/libs/node/src/receiver.cpp
@@ -171,10 +171,16 @@
     case admission::action::admit:
         ++this->totals.admitted;
         // No hook may be called inside start(), and a failed dispatch calls one.
-        this->loop->post([channel = this->channels.at(ticket)] { channel->dispatch(); });
+        this->loop->post(
+            [channel = this->channels.at(ticket)]
+            {
+                channel->notify_accepted();
+                channel->dispatch();
+            });
         break;
     case admission::action::queue:
         ++this->totals.queued;
+        this->loop->post([channel = this->channels.at(ticket)] { channel->notify_accepted(); });
         this->schedule_expiry();
         break;
     case admission::action::refuse:
--- a/libs/node/src/service_router.cpp
+++ b/libs/node/src/service_router.cpp
@@ -269,7 +269,7 @@
     {
         sent.fields.set(detail::redirected_field, "1");
     }
-    auto channel = std::make_shared<detail::peer_channel>(std::move(callbacks));
+    auto channel = std::make_shared<detail::peer_channel>(*this->loop, std::move(callbacks));
     channel->start(link, sent);
     return channel;
 }
--- a/libs/peer/include/poplarport/peer/detail/session.hpp
+++ b/libs/peer/include/poplarport/peer/detail/session.hpp
@@ -170,6 +170,7 @@
     std::uint64_t ping_number{0};
     bool ping_outstanding{false};
     core::time_point ping_sent_at{};
+    core::time_point delivered_by{}; ///< when a slow connection that works has delivered all bytes sent so far
     core::time_point last_byte_at{};
     core::time_point expecting_since{};
 };
--- a/libs/peer/src/session.cpp
+++ b/libs/peer/src/session.cpp
@@ -1,6 +1,6 @@
 #include "poplarport/peer/detail/session.hpp"
 
-#include <algorithm> // max
+#include <algorithm> // max, min
 #include <array>     // array
 #include <chrono>    // duration_cast, milliseconds, seconds
 #include <cstring>   // memcpy
@@ -36,6 +36,11 @@
 // Time for the other side to close after the last response; closing at once could discard bytes that it has not read.
 constexpr std::chrono::seconds linger_time{1};
 
+// A PING waits behind the bytes that were sent before it. This is the lowest speed at which a working connection is
+// expected to deliver them, so that a large body on a narrow link does not make the connection appear silent.
+constexpr std::int64_t min_bytes_per_second = 32'768;
+constexpr std::chrono::seconds max_transfer_time{3};
+
 constexpr std::int64_t round_trip_divisor = 8;
 
 struct option_deleter
@@ -220,6 +225,11 @@
     }
     this->bytes_passed_to_socket += batch.size();
     this->counter_totals->bytes_out += batch.size();
+    const auto now = this->loop->now();
+    const auto transfer_time =
+        core::duration{std::chrono::seconds{1}} * static_cast<std::int64_t>(batch.size()) / min_bytes_per_second;
+    this->delivered_by =
+        std::min<core::time_point>(std::max(this->delivered_by, now) + transfer_time, now + max_transfer_time);
     this->socket->send(batch);
     return true;
 }
@@ -351,7 +361,7 @@
 {
     if (this->awaits_ping())
     {
-        return this->ping_sent_at + this->limits.silent_after;
+        return std::max(this->ping_sent_at, this->delivered_by) + this->limits.silent_after;
     }
     if (this->role == session_role::client && !this->streams.empty())
     {
--- a/libs/peer/tests/unit-connections.cpp
+++ b/libs/peer/tests/unit-connections.cpp
@@ -21,7 +21,7 @@
 {
 
 // Forwards connections to an address. The first connection can stop forwarding while it stays open, or be reset after a
-// number of bytes.
+// number of bytes. Bytes to the address can be delayed as by a narrow network link.
 class forwarder
 {
   public:
@@ -52,6 +52,7 @@
     }
 
     std::size_t cut_after_bytes{std::numeric_limits<std::size_t>::max()};
+    std::size_t bytes_per_step{0}; ///< forwarded to the address every ten milliseconds; zero for all at once
 
     [[nodiscard]] std::size_t connections() const
     {
@@ -64,8 +65,18 @@
         std::unique_ptr<net::stream_socket> near{};
         std::unique_ptr<net::stream_socket> far{};
         bool stopped{false};
+        std::string delayed{};
+        std::unique_ptr<net::timer> step{};
     };
 
+    void forward_step(pair& on)
+    {
+        const auto count = std::min(on.delayed.size(), this->bytes_per_step);
+        on.far->send(on.delayed.substr(0, count));
+        on.delayed.erase(0, count);
+        on.step->schedule(10ms);
+    }
+
     void accept(std::unique_ptr<net::stream_socket> socket)
     {
         auto& created = this->pairs.emplace_back();
@@ -90,6 +101,12 @@
                 });
         };
         created.near->set_hooks(forward(created.far));
+        if (this->bytes_per_step > 0)
+        {
+            created.near->set_hooks(socket_hooks([&created](std::string_view bytes) { created.delayed += bytes; }));
+            created.step = std::make_unique<net::timer>(*this->loop, [this, &created] { this->forward_step(created); });
+            created.step->schedule(10ms);
+        }
         created.far->set_hooks(forward(created.near));
     }
 
@@ -148,6 +165,37 @@
     LONGS_EQUAL(2, between.connections());
 }
 
+// Pattern: an upload over a narrow link. The PING waits behind the body, so its response is late although the
+// connection works; a connection that is closed then loses an upload that may have run. A silent connection is still
+// detected.
+TEST(peer_connections, an_upload_over_a_narrow_link_does_not_make_the_connection_silent)
+{
+    constexpr std::size_t body_bytes = 60'000;
+    const auto server = this->serve(
+        [](const std::shared_ptr<peer::server_call>& call) {
+            call->set_hooks(
+                call_hooks([](std::string_view) {}, [call] { http::respond(*call, {.status = 200}, "stored"); }));
+        });
+    forwarder between{this->loop, server.address()};
+    between.bytes_per_step = 500;
+    auto link = this->connect(between.address(), {.check_after = 100ms, .silent_after = 100ms});
+    call_result result;
+    const auto call = link.start(make_request_header("POST", http::body_framing::fixed, body_bytes), collect(result));
+    call->send_body(make_data(body_bytes, 1));
+    call->finish_request();
+    CHECK(this->until_finished(result));
+    CHECK(result.ended);
+    LONGS_EQUAL(0, link.statistics().silent);
+
+    between.bytes_per_step = 0;
+    call_result lost;
+    const auto second = link.start(make_request_header("POST", http::body_framing::fixed, body_bytes), collect(lost));
+    second->send_body(make_data(body_bytes, 2));
+    second->finish_request();
+    CHECK(this->until_finished(lost));
+    CHECK(lost.failure && lost.failure->error == peer::errc::connection_silent);
+}
+
 // Without the liveness check of idle connections, only the next call would detect that the connection is silent.
 TEST(peer_connections, idle_silent_connection_is_closed)
 {
