--- a/libs/peer/src/session.cpp
+++ b/libs/peer/src/session.cpp
@@ -17,8 +17,9 @@
 namespace
 {
 
-// The windows limit the receiver's memory: one window per stream, and sixteen stream windows per session.
-constexpr std::uint32_t stream_window_bytes = 65536;
+// The windows limit the memory of the receiver and what waits on its link: a body of 60 KB takes 48 ms on a link of 10
+// Mbit/s, and calls with short time limits would wait for several of them.
+constexpr std::uint32_t stream_window_bytes = 16384;
 constexpr std::int32_t session_window_bytes = 1 << 20;
 
 // No output is pulled from nghttp2 while the socket has more pending bytes, so that small calls do not wait behind a
