--- a/libs/evacuation/tests/unit-replica.cpp
+++ b/libs/evacuation/tests/unit-replica.cpp
@@ -94,7 +94,8 @@
         CHECK(tested.nodes[0].on_stored(evacuated, tested.now));
         tested.run(2s);
         LONGS_EQUAL(300, tested.count(evacuated));
-        CHECK(tested.sent <= 300 * 21);
+        constexpr std::size_t max_messages = 300UL * 21UL;
+        CHECK(tested.sent <= max_messages);
         const zone_state returned{20, {}};
         CHECK(tested.nodes[7].on_stored(returned, tested.now));
         tested.run(2s);
