Let nested calls wait until their deadline

Change: admission::response_target decides whether a request gives way after its target; nested calls, which are requests without a tenant where there are tenants, do not. Their order in the queue is still by deadline.

--- a/libs/mesh/src/entry.cpp
+++ b/libs/mesh/src/entry.cpp
@@ -4,6 +4,7 @@
 #include <chrono>    // milliseconds
 #include <utility>   // move
 
+#include "poplarport/admission/response_target.hpp"
 #include "poplarport/admission/retry_after.hpp"
 #include "poplarport/mesh/errors.hpp"
 #include "poplarport/node/errors.hpp"
@@ -262,13 +263,18 @@
     {
         description.deadline = std::min(description.deadline, *this->stops_at);
     }
-    if (priority != 0)
+    // A retry by the caller has less time left than the maximum that the route has received.
+    auto& max_limit = this->max_time_limits[route.name];
+    max_limit = std::max(max_limit, context.caller.time_left.value_or(route.timeout));
+    admission::response_target_request target_request;
+    target_request.target = route.response_target;
+    target_request.elapsed = max_limit - context.caller.time_left.value_or(route.timeout);
+    target_request.priority = priority;
+    // With tenants, upstreams call public routes without a key.
+    target_request.is_nested = description.has_tenants && context.tenant == nullptr;
+    if (const auto target = admission::response_target(target_request))
     {
-        // A retry by the caller has less time left than the maximum that the route has received.
-        auto& max_limit = this->max_time_limits[route.name];
-        max_limit = std::max(max_limit, context.caller.time_left.value_or(route.timeout));
-        const auto elapsed = max_limit - context.caller.time_left.value_or(route.timeout);
-        description.target = this->loop->now() + route.response_target - elapsed;
+        description.target = this->loop->now() + *target;
     }
     description.body_limit_bytes = this->table->source().limits.body_bytes;
     description.max_buffered_response_bytes = node::body_buffer_bytes;
