Credit only large bodies before a connection counts as silent

Cause: the limit for silence was extended for all bytes that a session had sent, at 32 KB/s. Change: only bytes of request bodies of 16 KB or more count. The new test fails with the earlier form.

--- a/libs/peer/include/poplarport/peer/detail/session.hpp
+++ b/libs/peer/include/poplarport/peer/detail/session.hpp
@@ -134,6 +134,7 @@
     void submit_final_goaway();
     void check_liveness();
     void arm_liveness();
+    void expect_delivery(std::size_t bytes) noexcept;
     [[nodiscard]] core::time_point liveness_deadline() const noexcept;
     [[nodiscard]] bool awaits_ping() const noexcept;
     void add_stream(const std::shared_ptr<stream>& target);
@@ -170,7 +171,7 @@
     std::uint64_t ping_number{0};
     bool ping_outstanding{false};
     core::time_point ping_sent_at{};
-    core::time_point delivered_by{}; ///< when a slow connection that works has delivered all bytes sent so far
+    core::time_point delivered_by{}; ///< when a slow connection that works has delivered the large bodies sent so far
     core::time_point last_byte_at{};
     core::time_point expecting_since{};
 };
--- a/libs/peer/include/poplarport/peer/detail/stream.hpp
+++ b/libs/peer/include/poplarport/peer/detail/stream.hpp
@@ -73,6 +73,7 @@
     bool input_ended{false};                   ///< END_STREAM was received
     bool end_delivered{false};                 ///< receive_end was called
     bool output_ended{false};                  ///< no more output follows
+    bool has_large_output{false};              ///< the output takes long on a narrow link
     bool end_sent{false};                      ///< END_STREAM was packed
     std::optional<std::uint32_t> reset_code{}; ///< error code of a received RST_STREAM
     bool output_deferred{false};               ///< nghttp2 waits for resume_output()
--- a/libs/peer/src/link_session.cpp
+++ b/libs/peer/src/link_session.cpp
@@ -13,6 +13,9 @@
 // The other side of a link never opens streams.
 constexpr std::uint32_t max_incoming_streams = 0;
 
+// A body of this size takes 13 ms on a link of 10 Mbit/s.
+constexpr std::uint64_t min_large_body_bytes = 16'384;
+
 } // namespace
 
 link_session::link_session(const std::shared_ptr<link::state>& link)
@@ -78,6 +81,7 @@
       remaining(header.content_length)
 {
     this->output_ended = header.framing == http::body_framing::none;
+    this->has_large_output = this->is_fixed && header.content_length >= min_large_body_bytes;
 }
 
 void client_stream::send_body(std::string_view bytes)
--- a/libs/peer/src/session.cpp
+++ b/libs/peer/src/session.cpp
@@ -38,7 +38,8 @@
 constexpr std::chrono::seconds linger_time{1};
 
 // A PING waits behind the bytes that were sent before it. This is the lowest speed at which a working connection is
-// expected to deliver them, so that a large body on a narrow link does not make the connection appear silent.
+// expected to deliver large bodies, so that they do not make a narrow link appear silent. Other bytes do not count: a
+// busy connection that becomes silent would be noticed seconds later.
 constexpr std::int64_t min_bytes_per_second = 32'768;
 constexpr std::chrono::seconds max_transfer_time{3};
 
@@ -226,11 +227,6 @@
     }
     this->bytes_passed_to_socket += batch.size();
     this->counter_totals->bytes_out += batch.size();
-    const auto now = this->loop->now();
-    const auto transfer_time =
-        core::duration{std::chrono::seconds{1}} * static_cast<std::int64_t>(batch.size()) / min_bytes_per_second;
-    this->delivered_by =
-        std::min<core::time_point>(std::max(this->delivered_by, now) + transfer_time, now + max_transfer_time);
     this->socket->send(batch);
     return true;
 }
@@ -358,6 +354,15 @@
     return this->ping_outstanding && this->last_byte_at < this->ping_sent_at;
 }
 
+void session::expect_delivery(std::size_t bytes) noexcept
+{
+    const auto now = this->loop->now();
+    const auto transfer_time =
+        core::duration{std::chrono::seconds{1}} * static_cast<std::int64_t>(bytes) / min_bytes_per_second;
+    this->delivered_by =
+        std::min<core::time_point>(std::max(this->delivered_by, now) + transfer_time, now + max_transfer_time);
+}
+
 core::time_point session::liveness_deadline() const noexcept
 {
     if (this->awaits_ping())
--- a/libs/peer/src/session_callbacks.cpp
+++ b/libs/peer/src/session_callbacks.cpp
@@ -297,6 +297,10 @@
         return NGHTTP2_ERR_DEFERRED;
     }
     const auto count = found->pull_output(buffer, length);
+    if (found->has_large_output)
+    {
+        target.expect_delivery(count);
+    }
     if (found->queued_bytes() > 0)
     {
         return static_cast<ssize_t>(count);
--- a/libs/peer/tests/unit-connections.cpp
+++ b/libs/peer/tests/unit-connections.cpp
@@ -196,6 +196,41 @@
     CHECK(lost.failure && lost.failure->error == peer::errc::connection_silent);
 }
 
+// Pattern: all connections become silent while they are busy with small calls. The allowance for uploads must not delay
+// that this is noticed, because configurations and membership of the other side would be late by seconds.
+TEST(peer_connections, a_busy_connection_without_uploads_is_found_silent_at_once)
+{
+    constexpr std::size_t body_bytes = 4'000;
+    const auto server = this->serve(
+        [](const std::shared_ptr<peer::server_call>& call) {
+            call->set_hooks(
+                call_hooks([](std::string_view) {}, [call] { http::respond(*call, {.status = 200}, "stored"); }));
+        });
+    forwarder between{this->loop, server.address()};
+    auto link = this->connect(between.address(), {.check_after = 30ms, .silent_after = 30ms});
+    const auto send = [&link](call_result& result)
+    {
+        auto call = link.start(make_request_header("POST", http::body_framing::fixed, body_bytes), collect(result));
+        call->send_body(make_data(body_bytes, 1));
+        call->finish_request();
+        return call;
+    };
+    for (int number = 0; number < 50; ++number)
+    {
+        call_result result;
+        const auto call = send(result);
+        CHECK(this->until_finished(result));
+        CHECK(result.ended);
+    }
+    between.stop_forwarding_first();
+    const auto begin = this->loop.now();
+    call_result lost;
+    const auto call = send(lost);
+    CHECK(this->until_finished(lost));
+    CHECK(lost.failure && lost.failure->error == peer::errc::connection_silent);
+    CHECK(this->loop.now() - begin < 500ms);
+}
+
 // Pattern: nested lookups with a short time limit go over the same narrow link as uploads. A lookup must not wait
 // behind whole bodies, only behind what the flow-control window lets each upload have on its way.
 TEST(peer_connections, a_small_call_does_not_wait_behind_the_bodies_of_uploads)
