--- a/review/stage-2/stage.py
+++ b/review/stage-2/stage.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -20,10 +21,22 @@
     """The case could not be played; says nothing about the rule."""
 
 
+GIVEN_PORTS = set()
+
+
 def free_port(host):
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """A free port below those that the kernel gives to outgoing connections, which could take it before it is used."""
+    while True:
+        port = random.randrange(15000, 32000)
+        if port in GIVEN_PORTS:
+            continue
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        GIVEN_PORTS.add(port)
+        return port
 
 
 async def read_head(reader):
@@ -498,6 +511,8 @@
     nodes = []
 
     async def whole():
+        # A script that is stopped still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as folder:
             try:
                 return await asyncio.wait_for(case(trouble, record, nodes, folder), 110)
@@ -506,7 +521,7 @@
                     await node.stop()
     try:
         broken = asyncio.run(whole())
-    except (CannotRun, OSError, asyncio.TimeoutError) as problem:
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as problem:
         record.line("the case couldn't run: %r" % problem)
         print("could not run:", repr(problem))
         sys.exit(2)
